--- /dev/null
+++ b/pkg/descriptor/units.go
@@ -0,0 +1,113 @@
+package descriptor
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Ids. Each is unique among the objects of its kind in one deployment.
+type (
+	// WorkspaceID names a workspace, the tenant that holds guarantees.
+	WorkspaceID string
+	// ClassID names a class of work.
+	ClassID string
+	// JobID is unique within a workspace; callers choose it.
+	JobID string
+	// RequestID is unique within a workspace; callers choose it and repeat it on a retry.
+	RequestID string
+	// WorkerID names a worker, a machine of the platform.
+	WorkerID string
+	// RackID names a rack within a failure domain.
+	RackID string
+	// FailureDomainID names a failure domain, the unit that operators take out.
+	FailureDomainID string
+	// RegionID names a region, one or more failure domains with a fast network.
+	RegionID string
+	// EndpointID names an endpoint, a back end that serves requests.
+	EndpointID string
+	// EntryID names a running entry process.
+	EntryID string
+	// ServiceID names the service that an endpoint offers.
+	ServiceID string
+)
+
+// Units.
+type (
+	// Accelerators counts accelerators.
+	Accelerators int
+	// Cores counts processor cores.
+	Cores float64
+	// Megabytes counts memory in units of 1,000,000 bytes.
+	Megabytes int64
+	// Revision numbers accepted configurations; a higher one is newer.
+	Revision int64
+	// Epoch numbers the terms of a region's scheduler; a higher one is newer.
+	Epoch int64
+	// Attempt numbers the runs of one job, from 1.
+	Attempt int
+	// Share is a part of a workspace's guarantee, from 0 to 1.
+	Share float64
+)
+
+// Duration is a time.Duration that is written as text, such as "1m30s", in JSON.
+type Duration time.Duration
+
+// MarshalJSON writes d as text.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads the text form of a duration.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("duration must be text such as \"30s\": %w", err)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Level says how close together the accelerators of a shape or gang must be.
+type Level int
+
+// Levels, from the loosest to the tightest. The zero value is the loosest.
+const (
+	// LevelFailureDomain keeps all accelerators in one failure domain.
+	LevelFailureDomain Level = iota
+	// LevelRack keeps all accelerators in one rack.
+	LevelRack
+	// LevelWorker keeps all accelerators in one worker.
+	LevelWorker
+)
+
+var levelNames = [...]string{"FailureDomain", "Rack", "Worker"}
+
+// String returns the name used in configuration files.
+func (l Level) String() string {
+	if l < 0 || int(l) >= len(levelNames) {
+		return fmt.Sprintf("Level(%d)", int(l))
+	}
+	return levelNames[l]
+}
+
+// MarshalText writes the name of l.
+func (l Level) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
+
+// UnmarshalText reads the name of a level.
+func (l *Level) UnmarshalText(text []byte) error {
+	for i, n := range levelNames {
+		if n == string(text) {
+			*l = Level(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown level %q, want FailureDomain, Rack or Worker", text)
+}
