--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -22,6 +22,8 @@
 	KindPeer       Kind = "Peer"
 	KindJobChanged Kind = "JobChanged"
 	KindForward    Kind = "Forward"
+	KindExplain    Kind = "Explain"
+	KindStatus     Kind = "Status"
 )
 
 // AgentState is the state that an agent announces.
@@ -202,16 +204,25 @@
 	Endpoint       descriptor.EndpointID
 }
 
-// Peer is exchanged between entries.
+// Peer is exchanged between entries, as question and as answer.
 type Peer struct {
-	Entry         descriptor.EntryID
-	Address       string
-	Region        descriptor.RegionID
-	Revision      descriptor.Revision
-	StoreReached  bool
-	Scheduler     bool
-	Epoch         descriptor.Epoch
-	Leaving       bool
+	Entry   descriptor.EntryID
+	Address string
+	Region  descriptor.RegionID
+	// Revision is the highest configuration revision that the sender holds.
+	Revision descriptor.Revision
+	// StoreBasis reports that the sender's permits rest on a read of the store that began BasisAge ago.
+	StoreBasis bool
+	BasisAge   time.Duration
+	// Voter reports that the answer counts towards a majority: the sender has read
+	// the store since its start, renewed its membership recently and is not leaving.
+	Voter bool
+	// Scheduler reports that the sender schedules for its region, in Epoch.
+	Scheduler bool
+	// Epoch is the highest scheduler epoch of the region that the sender knows.
+	Epoch   descriptor.Epoch
+	Leaving bool
+	// Configuration is sent to an entry that holds an older revision.
 	Configuration *descriptor.Configuration
 }
 
@@ -228,5 +239,18 @@
 	Deadline time.Duration
 }
 
+// ExplainQuery asks the scheduler of a region about a job.
+type ExplainQuery struct {
+	Key descriptor.JobKey
+}
+
+// StatusQuery asks the scheduler of a region for its guarantees and fragmentation.
+type StatusQuery struct{}
+
+// Document is an answer in JSON that is passed on to a caller as it is.
+type Document struct {
+	JSON []byte
+}
+
 // Empty is an answer without content.
 type Empty struct{}
--- /dev/null
+++ b/internal/registrar/registrar.go
@@ -0,0 +1,141 @@
+// Package registrar keeps the roster of entries, one document in the store,
+// and decides from it when a configuration change is accepted and when an
+// entry that cannot reach the store may still issue start permits.
+//
+// The two rules exclude each other: a change is accepted only when the entries
+// that have not acknowledged it cannot be a strict majority of any roster that
+// one of them remembers, and an entry without the store issues permits only
+// with the answers of a strict majority of the roster that it remembers.
+package registrar
+
+import (
+	"slices"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// Key is the store key of the roster.
+const Key = "roster"
+
+const (
+	// Retention is how long an entry that stopped renewing stays in the roster.
+	// A shorter time would drop entries that are cut off but still count on a majority.
+	Retention = time.Hour
+	// VoteLimit is how long after its last renewal an entry may vote. The gap to
+	// Retention allows for clocks of the entries that differ by up to 10 minutes.
+	VoteLimit = 50 * time.Minute
+	// RenewInterval is the time between renewals of one entry.
+	RenewInterval = 2 * time.Second
+	// LiveLimit is how long after its last renewal an entry counts as alive in reports to operators.
+	LiveLimit = 3 * RenewInterval
+)
+
+// Roster lists the entries of the deployment.
+type Roster struct {
+	// Sequence grows with each change of membership, not with renewals.
+	Sequence int64
+	// Members have distinct entry ids.
+	Members []Member
+}
+
+// Member is one entry process. A restarted process is a new member.
+type Member struct {
+	Entry         descriptor.EntryID
+	Address       string
+	HTTPAddress   string
+	Region        descriptor.RegionID
+	FailureDomain descriptor.FailureDomainID
+	// Joined is the roster's sequence with which the member joined.
+	Joined int64
+	// Seen is the sequence of a roster that the member surely remembers. It never exceeds what it remembers.
+	Seen int64
+	// Renewed is the time of the last renewal by the member's clock.
+	Renewed time.Time
+}
+
+// Renew returns a change of the roster that adds self or renews it, and drops
+// members that have not renewed for Retention. remembered is the sequence of
+// the roster that self holds now, 0 for none. The change is safe to repeat.
+func Renew(self Member, remembered int64, now time.Time) func(*Roster) (bool, error) {
+	return func(r *Roster) (bool, error) {
+		r.prune(self.Entry, now)
+		i := r.index(self.Entry)
+		if i < 0 {
+			r.Sequence++
+			self.Joined = r.Sequence
+			self.Seen = remembered
+			self.Renewed = now
+			r.Members = append(r.Members, self)
+			return true, nil
+		}
+		m := &r.Members[i]
+		m.Seen = max(m.Seen, remembered)
+		m.Renewed = now
+		return true, nil
+	}
+}
+
+// Leave returns a change of the roster that removes an entry.
+func Leave(id descriptor.EntryID) func(*Roster) (bool, error) {
+	return func(r *Roster) (bool, error) {
+		i := r.index(id)
+		if i < 0 {
+			return false, nil
+		}
+		r.Sequence++
+		r.Members = slices.Delete(r.Members, i, i+1)
+		return true, nil
+	}
+}
+
+func (r *Roster) prune(self descriptor.EntryID, now time.Time) {
+	before := len(r.Members)
+	r.Members = slices.DeleteFunc(r.Members, func(m Member) bool {
+		return m.Entry != self && now.Sub(m.Renewed) > Retention
+	})
+	if len(r.Members) != before {
+		r.Sequence++
+	}
+}
+
+func (r *Roster) index(id descriptor.EntryID) int {
+	return slices.IndexFunc(r.Members, func(m Member) bool { return m.Entry == id })
+}
+
+// Contains reports whether id is a member.
+func (r *Roster) Contains(id descriptor.EntryID) bool { return r.index(id) >= 0 }
+
+// Acceptable reports whether a change that the given entries have acknowledged
+// is accepted. A member that has not acknowledged may hold any roster from Seen
+// on. Each of those contains the current members that had joined by then, so it
+// is enough that among these the ones without acknowledgement are no strict majority.
+func Acceptable(r *Roster, acknowledged map[descriptor.EntryID]bool) bool {
+	oldest := int64(-1)
+	for _, m := range r.Members {
+		if !acknowledged[m.Entry] && (oldest < 0 || m.Seen < oldest) {
+			oldest = m.Seen
+		}
+	}
+	if oldest < 0 {
+		return true
+	}
+	members := slices.Clone(r.Members)
+	slices.SortFunc(members, func(a, b Member) int { return int(a.Joined - b.Joined) })
+	missing := 0
+	for i, m := range members {
+		if !acknowledged[m.Entry] {
+			missing++
+		}
+		isPrefixRemembered := i == len(members)-1 || members[i+1].Joined > oldest
+		if isPrefixRemembered && 2*missing > i+1 {
+			return false
+		}
+	}
+	return true
+}
+
+// IsMajority reports whether votes are a strict majority of the roster.
+func IsMajority(r *Roster, votes int) bool {
+	return len(r.Members) > 0 && 2*votes > len(r.Members)
+}
--- /dev/null
+++ b/pkg/validator/configuration.go
@@ -0,0 +1,185 @@
+package validator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+)
+
+// ParseConfiguration reads a configuration file. An unknown field is an error.
+func ParseConfiguration(data []byte) (*descriptor.Configuration, error) {
+	var cfg descriptor.Configuration
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&cfg); err != nil {
+		return nil, Errors{{Field: "configuration", Reason: describeJSON(err, d.InputOffset())}}
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return nil, Errors{{Field: "configuration", Reason: "holds more than one JSON value"}}
+	}
+	return &cfg, nil
+}
+
+func describeJSON(err error, offset int64) string {
+	return fmt.Sprintf("%v (near byte %d)", err, offset)
+}
+
+// Configuration checks a configuration by itself, and that all guarantees fit
+// together on the expected fleet, if it names one, or else on the given workers.
+// With neither, guarantees are not checked against a fleet.
+func Configuration(cfg *descriptor.Configuration, workers []descriptor.Worker) error {
+	var c checker
+	c.failureDomains(cfg)
+	c.workspaces(cfg)
+	c.classes(cfg)
+	c.fleet(cfg)
+	if len(c.errors) == 0 {
+		c.guaranteesFit(cfg, workers)
+	}
+	return c.result()
+}
+
+func (c *checker) failureDomains(cfg *descriptor.Configuration) {
+	if len(cfg.FailureDomains) == 0 {
+		c.failf("FailureDomains", "must name at least one failure domain")
+	}
+	seen := map[descriptor.FailureDomainID]bool{}
+	for i, d := range cfg.FailureDomains {
+		field := fmt.Sprintf("FailureDomains[%d]", i)
+		c.name(field+".Name", string(d.Name))
+		c.name(field+".Region", string(d.Region))
+		if seen[d.Name] {
+			c.failf(field+".Name", "%q is used twice", d.Name)
+		}
+		seen[d.Name] = true
+	}
+}
+
+func (c *checker) workspaces(cfg *descriptor.Configuration) {
+	if len(cfg.Workspaces) > MaxWorkspaces {
+		c.failf("Workspaces", "lists %d, at most %d are allowed", len(cfg.Workspaces), MaxWorkspaces)
+	}
+	seen := map[descriptor.WorkspaceID]bool{}
+	for i, w := range cfg.Workspaces {
+		field := fmt.Sprintf("Workspaces[%d]", i)
+		c.name(field+".Name", string(w.Name))
+		if seen[w.Name] {
+			c.failf(field+".Name", "%q is used twice", w.Name)
+		}
+		seen[w.Name] = true
+		if w.TokenHash != "" && len(w.TokenHash) != 64 {
+			c.failf(field+".TokenHash", "has %d characters, want the 64 of a SHA-256 in hex", len(w.TokenHash))
+		}
+		for j, s := range w.Guarantees {
+			c.shape(fmt.Sprintf("%s.Guarantees[%d]", field, j), s, cfg)
+		}
+	}
+}
+
+func (c *checker) shape(field string, s descriptor.Shape, cfg *descriptor.Configuration) {
+	if s.Accelerators < 1 {
+		c.failf(field+".Accelerators", "is %d, want at least 1", s.Accelerators)
+	}
+	if s.Count < 0 {
+		c.failf(field+".Count", "is %d, want 0 or more", s.Count)
+	}
+	if s.Region != "" && !hasRegion(cfg, s.Region) {
+		c.failf(field+".Region", "no failure domain lies in region %q", s.Region)
+	}
+}
+
+func (c *checker) classes(cfg *descriptor.Configuration) {
+	if len(cfg.Classes) > MaxClasses {
+		c.failf("Classes", "lists %d, at most %d are allowed", len(cfg.Classes), MaxClasses)
+	}
+	seen := map[descriptor.ClassID]bool{}
+	for i, class := range cfg.Classes {
+		field := fmt.Sprintf("Classes[%d]", i)
+		c.name(field+".Name", string(class.Name))
+		if seen[class.Name] {
+			c.failf(field+".Name", "%q is used twice", class.Name)
+		}
+		seen[class.Name] = true
+		if class.Share <= 0 || class.Share > 1 {
+			c.failf(field+".Share", "is %g, want more than 0 and at most 1: a class cannot claim more than its workspace's guarantee", float64(class.Share))
+		}
+		if class.FinishWithin <= 0 || class.FinishWithin.Std() > MaxFinishWithin {
+			c.failf(field+".FinishWithin", "is %v, want more than 0s and at most %v", class.FinishWithin.Std(), MaxFinishWithin)
+		}
+	}
+}
+
+func (c *checker) fleet(cfg *descriptor.Configuration) {
+	for i, r := range cfg.Fleet {
+		field := fmt.Sprintf("Fleet[%d]", i)
+		if regionOf(cfg, r.FailureDomain) == "" {
+			c.failf(field+".FailureDomain", "no failure domain %q", r.FailureDomain)
+		}
+		if r.Racks < 1 || r.Workers < 1 || r.Accelerators < 0 {
+			c.failf(field, "wants at least 1 rack, 1 worker and 0 accelerators, has %d, %d and %d", r.Racks, r.Workers, r.Accelerators)
+		}
+	}
+}
+
+// guaranteesFit asks a fresh scheduler core, so that acceptance and scheduling
+// cannot disagree about what fits. Failure domains that are out count as in,
+// because taking one out for maintenance must not need a change of guarantees.
+func (c *checker) guaranteesFit(cfg *descriptor.Configuration, workers []descriptor.Worker) {
+	if len(cfg.Fleet) > 0 {
+		workers = ExpectedWorkers(cfg)
+	}
+	if len(workers) == 0 {
+		return
+	}
+	whole := *cfg
+	whole.FailureDomains = nil
+	for _, d := range cfg.FailureDomains {
+		d.Out = false
+		whole.FailureDomains = append(whole.FailureDomains, d)
+	}
+	var core scheduler.Core
+	now := time.Now()
+	core.Configure(&whole, now)
+	for _, w := range workers {
+		core.SetWorker(w, now)
+	}
+	for _, g := range core.Guarantees(now) {
+		if g.Possible < g.Shape.Copies() {
+			c.failf("Workspaces", "guarantee of workspace %q (%d accelerators within one %s) does not fit together with the others: %s", g.Workspace, g.Shape.Accelerators, g.Shape.Adjacency, g.Cause)
+		}
+	}
+}
+
+// ExpectedWorkers lists the workers that the Fleet field describes.
+func ExpectedWorkers(cfg *descriptor.Configuration) []descriptor.Worker {
+	var workers []descriptor.Worker
+	for i, r := range cfg.Fleet {
+		for k := range r.Racks {
+			rack := descriptor.RackID(fmt.Sprintf("%s-%d-%d", r.FailureDomain, i, k))
+			for n := range r.Workers {
+				workers = append(workers, descriptor.Worker{
+					ID:            descriptor.WorkerID(fmt.Sprintf("%s-%d", rack, n)),
+					Rack:          rack,
+					FailureDomain: r.FailureDomain,
+					Region:        regionOf(cfg, r.FailureDomain),
+					Accelerators:  r.Accelerators,
+				})
+			}
+		}
+	}
+	return workers
+}
+
+func regionOf(cfg *descriptor.Configuration, name descriptor.FailureDomainID) descriptor.RegionID {
+	for _, d := range cfg.FailureDomains {
+		if d.Name == name {
+			return d.Region
+		}
+	}
+	return ""
+}
