--- /dev/null
+++ b/internal/commander/caller.go
@@ -0,0 +1,325 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+func decode(data []byte, v any) error { return json.Unmarshal(data, v) }
+
+func (p *Program) jobCommand() *ffcli.Command {
+	c := &ffcli.Command{
+		Name:       "job",
+		ShortUsage: "persimmontrail job submit|get|list|cancel|explain [flags]",
+		ShortHelp:  "Submit, watch, cancel and explain jobs.",
+		FlagSet:    newFlags("job"),
+		Subcommands: []*ffcli.Command{
+			p.submitCommand(),
+			p.oneJobCommand("get", "Show one job.", http.MethodGet, ""),
+			p.listJobsCommand(),
+			p.oneJobCommand("cancel", "Cancel a job.", http.MethodDelete, ""),
+			p.explainCommand(),
+		},
+	}
+	c.Exec = p.needsSubcommand(c)
+	return c
+}
+
+// jobFlags describe a job on the command line.
+type jobFlags struct {
+	id, workspace, class, region, adjacency, payload string
+	tasks, accelerators                              int
+	cores                                            float64
+	memory                                           int64
+	runTime                                          time.Duration
+	nonIdempotent                                    bool
+}
+
+func (j *jobFlags) register(f *flag.FlagSet) {
+	f.StringVar(&j.id, "id", "", "id of the job, unique in the workspace; made up if empty")
+	f.StringVar(&j.workspace, "workspace", "", "workspace of the job")
+	f.StringVar(&j.class, "class", "", "class of the job")
+	f.StringVar(&j.region, "region", "", "region in which the job runs; empty for that of the entry")
+	f.StringVar(&j.adjacency, "adjacency", "FailureDomain", "where all accelerators must be: FailureDomain, Rack or Worker")
+	f.StringVar(&j.payload, "payload", "", "payload that the worker gets")
+	f.IntVar(&j.tasks, "tasks", 1, "number of tasks that run together or not at all")
+	f.IntVar(&j.accelerators, "accelerators", 1, "accelerators for each task")
+	f.Float64Var(&j.cores, "cores", 1, "cores for each task")
+	f.Int64Var(&j.memory, "memory", 1000, "memory for each task in megabytes")
+	f.DurationVar(&j.runTime, "run-time", time.Minute, "expected run time")
+	f.BoolVar(&j.nonIdempotent, "non-idempotent", false, "run the job at most once")
+}
+
+func (j *jobFlags) job() (descriptor.Job, error) {
+	job := descriptor.Job{
+		ID:        descriptor.JobID(j.id),
+		Workspace: descriptor.WorkspaceID(j.workspace),
+		Class:     descriptor.ClassID(j.class),
+		Region:    descriptor.RegionID(j.region),
+		Tasks:     j.tasks,
+		PerTask: descriptor.Resources{
+			Cores:        descriptor.Cores(j.cores),
+			Memory:       descriptor.Megabytes(j.memory),
+			Accelerators: descriptor.Accelerators(j.accelerators),
+		},
+		DeclaredRunTime: descriptor.Duration(j.runTime),
+		NonIdempotent:   j.nonIdempotent,
+		Payload:         []byte(j.payload),
+	}
+	if job.ID == "" {
+		job.ID = descriptor.JobID(uniqueName("job"))
+	}
+	if err := job.Adjacency.UnmarshalText([]byte(j.adjacency)); err != nil {
+		return job, validator.Errors{{Field: "adjacency", Reason: err.Error()}}
+	}
+	return job, nil
+}
+
+func (p *Program) submitCommand() *ffcli.Command {
+	f := newFlags("submit")
+	var c clientFlags
+	var j jobFlags
+	c.register(f)
+	j.register(f)
+	return &ffcli.Command{
+		Name:       "submit",
+		ShortUsage: "persimmontrail job submit [flags]",
+		ShortHelp:  "Submit a job. Repeating it with the same id is safe.",
+		LongHelp: `Example:
+  persimmontrail job submit --workspace atelier --class Draft --tasks 3 --accelerators 8 --adjacency Rack --run-time 2h`,
+		FlagSet: f,
+		Exec: func(ctx context.Context, _ []string) error {
+			job, err := j.job()
+			if err != nil {
+				return err
+			}
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var v coordinator.JobView
+			if err := client.call(ctx, http.MethodPost, "/v1/jobs", job, &v); err != nil {
+				return err
+			}
+			return client.printJobs(v, []coordinator.JobView{v})
+		},
+	}
+}
+
+func (c *entryClient) printJobs(document any, jobs []coordinator.JobView) error {
+	return c.print(document, func(w io.Writer) {
+		fmt.Fprintln(w, "WORKSPACE\tJOB\tCLASS\tTASKS\tACCELERATORS\tSTATE\tATTEMPT\tRESULT\tREASON")
+		for _, v := range jobs {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%d\t%s\t%s\n", v.Job.Workspace, v.Job.ID, v.Job.Class, v.Job.Tasks, v.Job.Accelerators(), v.State, v.Attempt, v.Result, v.Reason)
+		}
+	})
+}
+
+func jobPath(workspace, id string) string {
+	return "/v1/jobs/" + url.PathEscape(workspace) + "/" + url.PathEscape(id)
+}
+
+func jobArguments(args []string) (workspace, id string, err error) {
+	if len(args) != 2 {
+		return "", "", fmt.Errorf("%w: want two arguments, the workspace and the job", errUsage)
+	}
+	return args[0], args[1], nil
+}
+
+func (p *Program) oneJobCommand(name, help, method, suffix string) *ffcli.Command {
+	f := newFlags(name)
+	var c clientFlags
+	c.register(f)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "persimmontrail job " + name + " [flags] WORKSPACE JOB",
+		ShortHelp:  help,
+		FlagSet:    f,
+		Exec: func(ctx context.Context, args []string) error {
+			workspace, id, err := jobArguments(args)
+			if err != nil {
+				return err
+			}
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var v coordinator.JobView
+			if err := client.call(ctx, method, jobPath(workspace, id)+suffix, nil, &v); err != nil {
+				return err
+			}
+			return client.printJobs(v, []coordinator.JobView{v})
+		},
+	}
+}
+
+func (p *Program) listJobsCommand() *ffcli.Command {
+	f := newFlags("list")
+	var c clientFlags
+	c.register(f)
+	return &ffcli.Command{
+		Name:       "list",
+		ShortUsage: "persimmontrail job list [flags]",
+		ShortHelp:  "List the jobs of the entry's region.",
+		FlagSet:    f,
+		Exec: func(ctx context.Context, _ []string) error {
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var answer struct{ Jobs []coordinator.JobView }
+			if err := client.call(ctx, http.MethodGet, "/v1/jobs", nil, &answer); err != nil {
+				return err
+			}
+			return client.printJobs(answer, answer.Jobs)
+		},
+	}
+}
+
+func (p *Program) explainCommand() *ffcli.Command {
+	f := newFlags("explain")
+	var c clientFlags
+	c.register(f)
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "persimmontrail job explain [flags] WORKSPACE JOB",
+		ShortHelp:  "Say why a job is in its state and what would change it.",
+		FlagSet:    f,
+		Exec: func(ctx context.Context, args []string) error {
+			workspace, id, err := jobArguments(args)
+			if err != nil {
+				return err
+			}
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var x coordinator.JobExplanation
+			if err := client.call(ctx, http.MethodGet, jobPath(workspace, id)+"/explain", nil, &x); err != nil {
+				return err
+			}
+			return client.print(x, func(w io.Writer) { printExplanation(w, x) })
+		},
+	}
+}
+
+func printExplanation(w io.Writer, x coordinator.JobExplanation) {
+	fmt.Fprintf(w, "job\t%s\nstate\t%s %s\nreason\t%s\n", x.Job.Job.Key(), x.Job.State, x.Job.Result, x.Job.Reason)
+	if x.Decision == nil {
+		fmt.Fprintf(w, "scheduler\t%s\n", x.Note)
+		return
+	}
+	d := x.Decision
+	fmt.Fprintf(w, "scheduler\t%s, attempt %d, on the guarantee: %v\n", d.State, d.Attempt, d.Guaranteed)
+	if d.Blocker != "" {
+		fmt.Fprintf(w, "blocked by\t%s\n", d.Blocker)
+	}
+	for _, f := range d.Facts {
+		fmt.Fprintf(w, "fact\t%s: %g %s\n", f.Name, f.Value, f.Unit)
+	}
+	for _, r := range d.Remedies {
+		fmt.Fprintf(w, "would change it\t%s\n", r)
+	}
+	if !d.EstimatedStart.IsZero() {
+		fmt.Fprintf(w, "estimated start\t%s (%s)\n", d.EstimatedStart.Format(time.RFC3339), d.Estimate)
+	}
+	for _, r := range d.History {
+		fmt.Fprintf(w, "%s\t%s: %s\n", r.At.Format("15:04:05.000"), r.What, r.Reason)
+	}
+}
+
+// errNotDone is the error of a request whose answer is not Done.
+var errNotDone = errors.New("request not done")
+
+func (p *Program) requestCommand() *ffcli.Command {
+	f := newFlags("request")
+	var c clientFlags
+	c.register(f)
+	id := f.String("id", "", "id of the request, unique in the workspace; made up if empty; repeat it on a retry")
+	workspace := f.String("workspace", "", "workspace of the request")
+	class := f.String("class", "", "class of the request")
+	body := f.String("body", "", "body of the request; @FILE reads a file")
+	timeout := f.Duration("timeout", 2*time.Minute, "how long to wait for the answer")
+	ask := f.Bool("ask", false, "ask what became of the request with this id")
+	return &ffcli.Command{
+		Name:       "request",
+		ShortUsage: "persimmontrail request [flags]",
+		ShortHelp:  "Send one request, or ask what became of it.",
+		LongHelp: `The result is Done, NotRun (it did not run and will not), Failed, or Unknown (ask later with --ask).
+Example:
+  persimmontrail request --workspace atelier --class Preview --body @measures.json`,
+		FlagSet: f,
+		Exec: func(ctx context.Context, _ []string) error {
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			data, err := readBody(*body)
+			if err != nil {
+				return err
+			}
+			if *id == "" {
+				*id = uniqueName("request")
+			}
+			ctx, cancel := context.WithTimeout(ctx, *timeout)
+			defer cancel()
+			var a coordinator.RequestAnswer
+			if *ask {
+				err = client.call(ctx, http.MethodGet, "/v1/requests/"+url.PathEscape(*workspace)+"/"+url.PathEscape(*id), nil, &a)
+			} else {
+				request := descriptor.Request{ID: descriptor.RequestID(*id), Workspace: descriptor.WorkspaceID(*workspace), Class: descriptor.ClassID(*class), Body: data}
+				err = client.call(ctx, http.MethodPost, "/v1/requests", request, &a)
+			}
+			if err != nil {
+				return fmt.Errorf("request %s: %w", *id, err)
+			}
+			return client.printRequest(a)
+		},
+	}
+}
+
+func readBody(text string) ([]byte, error) {
+	if len(text) > 1 && text[0] == '@' {
+		data, err := os.ReadFile(text[1:])
+		if err != nil {
+			return nil, validator.Errors{{Field: "body", Reason: err.Error()}}
+		}
+		return data, nil
+	}
+	return []byte(text), nil
+}
+
+func (c *entryClient) printRequest(a coordinator.RequestAnswer) error {
+	err := c.print(a, func(w io.Writer) {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", a.Request, a.Result, a.Reason)
+		if len(a.Body) > 0 {
+			fmt.Fprintf(w, "%s\n", a.Body)
+		}
+	})
+	if err == nil && a.Result != descriptor.ResultDone {
+		return fmt.Errorf("%w: %s", errNotDone, a.Result)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/commander/commander.go
@@ -0,0 +1,201 @@
+// Package commander is the command line of persimmontrail.
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/muesli/termenv"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmontrail/pkg/validator"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command was understood and did not succeed.
+	ExitFailed = 1
+	// ExitUsage means that flags, settings or a file are invalid; nothing was changed.
+	ExitUsage = 2
+)
+
+// envPrefix starts the environment variable of each flag.
+const envPrefix = "PERSIMMONTRAIL"
+
+// errUsage marks errors of the command line itself.
+var errUsage = errors.New("invalid command line")
+
+// Program is one run of the command line.
+type Program struct {
+	Stdin          io.Reader
+	Stdout, Stderr io.Writer
+	// Getenv replaces os.Getenv, for tests.
+	Getenv func(string) string
+}
+
+// Main runs the command line of the process and returns its exit code.
+func Main(args []string) int {
+	p := &Program{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
+	ctx, stop := signalContext()
+	defer stop()
+	return p.Run(ctx, args)
+}
+
+// signalContext ends with the first SIGTERM or SIGINT. A second one stops the process at once.
+func signalContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(ExitFailed)
+	}()
+	return ctx, cancel
+}
+
+// Run runs one command and returns its exit code.
+func (p *Program) Run(ctx context.Context, args []string) int {
+	root := p.root()
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		fmt.Fprintln(p.Stderr, "error:", err)
+		return ExitUsage
+	}
+	err := root.Run(ctx)
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.Is(err, validator.ErrInvalid), errors.Is(err, errUsage):
+		fmt.Fprintln(p.Stderr, "error:", indent(err.Error()))
+		return ExitUsage
+	default:
+		fmt.Fprintln(p.Stderr, "error:", indent(err.Error()))
+		return ExitFailed
+	}
+}
+
+func indent(text string) string { return strings.ReplaceAll(text, "\n", "\n       ") }
+
+func (p *Program) root() *ffcli.Command {
+	root := &ffcli.Command{
+		ShortUsage: "persimmontrail COMMAND [flags]",
+		ShortHelp:  "Schedule multi-accelerator jobs and service requests under workspace guarantees.",
+		LongHelp: `Every flag can be set by an environment variable: --http-listen is PERSIMMONTRAIL_HTTP_LISTEN.
+
+Exit codes: 0 done, 1 the command failed, 2 the command line, a setting or a file is invalid and nothing was changed.`,
+		FlagSet: flag.NewFlagSet("persimmontrail", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			p.entryCommand(),
+			p.agentCommand(),
+			p.validateCommand(),
+			p.applyCommand(),
+			p.jobCommand(),
+			p.requestCommand(),
+			p.domainCommand(),
+			p.statusCommand(),
+			p.auditCommand(),
+			p.demoCommand(),
+			p.keysCommand(),
+			p.versionCommand(),
+		},
+	}
+	root.Exec = p.needsSubcommand(root)
+	p.prepare(root)
+	return root
+}
+
+// prepare sets what all commands have in common.
+func (p *Program) prepare(c *ffcli.Command) {
+	c.FlagSet.SetOutput(p.Stderr)
+	c.Options = append(c.Options, ff.WithEnvVarPrefix(envPrefix))
+	for _, s := range c.Subcommands {
+		p.prepare(s)
+	}
+}
+
+// needsSubcommand prints the help of a command that only groups others.
+func (p *Program) needsSubcommand(c *ffcli.Command) func(context.Context, []string) error {
+	return func(_ context.Context, args []string) error {
+		fmt.Fprintln(p.Stderr, ffcli.DefaultUsageFunc(c))
+		if len(args) > 0 {
+			return fmt.Errorf("%w: no command %q", errUsage, args[0])
+		}
+		return fmt.Errorf("%w: a command is missing", errUsage)
+	}
+}
+
+func newFlags(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
+
+// logFlags are the log settings of long-running commands.
+type logFlags struct {
+	format, level string
+}
+
+func (l *logFlags) register(f *flag.FlagSet) {
+	f.StringVar(&l.format, "log-format", "text", "log format: json, logfmt or text")
+	f.StringVar(&l.level, "log-level", "info", "log level: debug, info, warn or error")
+}
+
+// logger returns a logger that writes to standard error with the prefix of one part.
+func (p *Program) logger(l logFlags, prefix string) (*log.Logger, error) {
+	formats := map[string]log.Formatter{"json": log.JSONFormatter, "logfmt": log.LogfmtFormatter, "text": log.TextFormatter}
+	var faults validator.Errors
+	format, ok := formats[l.format]
+	if !ok {
+		faults = append(faults, validator.FieldError{Field: "log-format", Reason: fmt.Sprintf("is %q, want json, logfmt or text", l.format)})
+	}
+	level, err := log.ParseLevel(l.level)
+	if err != nil {
+		faults = append(faults, validator.FieldError{Field: "log-level", Reason: fmt.Sprintf("is %q, want debug, info, warn or error", l.level)})
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	logger := log.NewWithOptions(p.Stderr, log.Options{
+		Prefix:          prefix,
+		Level:           level,
+		Formatter:       format,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+	})
+	if p.Getenv != nil && p.Getenv("NO_COLOR") != "" {
+		logger.SetColorProfile(termenv.Ascii)
+	}
+	return logger, nil
+}
+
+// Version is the version of this program.
+const Version = "0.1.0"
+
+func (p *Program) versionCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "version",
+		ShortUsage: "persimmontrail version",
+		ShortHelp:  "Print the version.",
+		FlagSet:    newFlags("version"),
+		Exec: func(context.Context, []string) error {
+			goVersion := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				goVersion = info.GoVersion
+			}
+			_, err := fmt.Fprintf(p.Stdout, "persimmontrail %s (%s)\n", Version, goVersion)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/commander/operator.go
@@ -0,0 +1,316 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/internal/recorder"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+func readConfiguration(file string) (*descriptor.Configuration, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, validator.Errors{{Field: "file", Reason: err.Error()}}
+	}
+	cfg, err := validator.ParseConfiguration(data)
+	if err != nil {
+		return nil, err
+	}
+	return cfg, validator.Configuration(cfg, nil)
+}
+
+func oneArgument(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", fmt.Errorf("%w: want exactly one argument, %s", errUsage, what)
+	}
+	return args[0], nil
+}
+
+func (p *Program) validateCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "validate",
+		ShortUsage: "persimmontrail validate FILE",
+		ShortHelp:  "Check a configuration file without changing anything.",
+		FlagSet:    newFlags("validate"),
+		Exec: func(_ context.Context, args []string) error {
+			file, err := oneArgument(args, "the configuration file")
+			if err != nil {
+				return err
+			}
+			cfg, err := readConfiguration(file)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(p.Stdout, "valid: %d workspaces, %d classes, %d failure domains\n", len(cfg.Workspaces), len(cfg.Classes), len(cfg.FailureDomains))
+			return err
+		},
+	}
+}
+
+func (p *Program) applyCommand() *ffcli.Command {
+	f := newFlags("apply")
+	var c clientFlags
+	c.register(f)
+	force := f.Bool("force", false, "replace the configuration whatever revision it has now")
+	return &ffcli.Command{
+		Name:       "apply",
+		ShortUsage: "persimmontrail apply [flags] FILE",
+		ShortHelp:  "Put a configuration file in force.",
+		LongHelp: `The field Revision of the file names the revision on which the change is based; without it, the
+configuration must be the first one. When another operator was faster, nothing is changed and the
+differing parts are named. Example:
+  persimmontrail apply --entry http://10.0.0.7:7401 --operator jana deployment.json`,
+		FlagSet: f,
+		Exec: func(ctx context.Context, args []string) error {
+			file, err := oneArgument(args, "the configuration file")
+			if err != nil {
+				return err
+			}
+			cfg, err := readConfiguration(file)
+			if err != nil {
+				return err
+			}
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			if *force {
+				if err := client.takeCurrentRevision(ctx, cfg); err != nil {
+					return err
+				}
+			}
+			var answer coordinator.ChangeAnswer
+			if err := client.call(ctx, http.MethodPut, "/v1/configuration", cfg, &answer); err != nil {
+				return err
+			}
+			return client.printChange(answer)
+		},
+	}
+}
+
+func (c *entryClient) takeCurrentRevision(ctx context.Context, cfg *descriptor.Configuration) error {
+	var current descriptor.Configuration
+	data, status, err := c.do(ctx, http.MethodGet, "/v1/configuration", nil)
+	if status == http.StatusNotFound {
+		cfg.Revision = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := decode(data, &current); err != nil {
+		return err
+	}
+	cfg.Revision = current.Revision
+	return nil
+}
+
+func (c *entryClient) printChange(a coordinator.ChangeAnswer) error {
+	return c.print(a, func(w io.Writer) {
+		fmt.Fprintf(w, "%s\trevision %d\n", a.State, a.Revision)
+		for _, id := range a.Missing {
+			fmt.Fprintf(w, "not acknowledged\t%s\n", id)
+		}
+	})
+}
+
+func (p *Program) domainCommand() *ffcli.Command {
+	c := &ffcli.Command{
+		Name:       "domain",
+		ShortUsage: "persimmontrail domain out|in|list [flags] [NAME]",
+		ShortHelp:  "Take a failure domain out, bring it back, or list all.",
+		FlagSet:    newFlags("domain"),
+		Subcommands: []*ffcli.Command{
+			p.setDomainCommand("out", "Take a failure domain out: nothing starts there any more.", true),
+			p.setDomainCommand("in", "Bring a failure domain back.", false),
+			p.listDomainsCommand(),
+		},
+	}
+	c.Exec = p.needsSubcommand(c)
+	return c
+}
+
+func (p *Program) setDomainCommand(name, help string, out bool) *ffcli.Command {
+	f := newFlags(name)
+	var c clientFlags
+	c.register(f)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "persimmontrail domain " + name + " [flags] NAME",
+		ShortHelp:  help,
+		FlagSet:    f,
+		Exec: func(ctx context.Context, args []string) error {
+			domain, err := oneArgument(args, "the failure domain")
+			if err != nil {
+				return err
+			}
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var answer coordinator.ChangeAnswer
+			body := struct{ Out bool }{out}
+			if err := client.call(ctx, http.MethodPut, "/v1/failure-domains/"+url.PathEscape(domain), body, &answer); err != nil {
+				return err
+			}
+			return client.printChange(answer)
+		},
+	}
+}
+
+func (p *Program) listDomainsCommand() *ffcli.Command {
+	f := newFlags("list")
+	var c clientFlags
+	c.register(f)
+	return &ffcli.Command{
+		Name:       "list",
+		ShortUsage: "persimmontrail domain list [flags]",
+		ShortHelp:  "List the failure domains.",
+		FlagSet:    f,
+		Exec: func(ctx context.Context, _ []string) error {
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var answer struct {
+				Revision       descriptor.Revision
+				FailureDomains []descriptor.FailureDomain
+			}
+			if err := client.call(ctx, http.MethodGet, "/v1/failure-domains", nil, &answer); err != nil {
+				return err
+			}
+			return client.print(answer, func(w io.Writer) {
+				fmt.Fprintln(w, "FAILURE DOMAIN\tREGION\tSTATE")
+				for _, d := range answer.FailureDomains {
+					fmt.Fprintf(w, "%s\t%s\t%s\n", d.Name, d.Region, inOrOut(d.Out))
+				}
+			})
+		},
+	}
+}
+
+func inOrOut(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
+
+func (p *Program) statusCommand() *ffcli.Command {
+	f := newFlags("status")
+	var c clientFlags
+	c.register(f)
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "persimmontrail status [flags]",
+		ShortHelp:  "Show entries, agents, schedulers, guarantees and fragmentation.",
+		FlagSet:    f,
+		Exec: func(ctx context.Context, _ []string) error {
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var s coordinator.Status
+			if err := client.call(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
+				return err
+			}
+			return client.print(s, func(w io.Writer) { printStatus(w, s) })
+		},
+	}
+}
+
+func printStatus(w io.Writer, s coordinator.Status) {
+	fmt.Fprintf(w, "entry %s\trevision %d\tstore reached %v\tstarts permitted for %v\n\n", s.Entry, s.Revision, s.StoreReached, s.PermitLeft.Std())
+	fmt.Fprintln(w, "ENTRY\tREGION\tFAILURE DOMAIN\tADDRESS\tLAST RENEWAL")
+	for _, m := range s.Entries {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Entry, m.Region, m.FailureDomain, m.HTTPAddress, m.Renewed.Format("15:04:05"))
+	}
+	fmt.Fprintln(w, "\nAGENT\tSTATE\tFAILURE DOMAIN\tWORKER\tENDPOINT\tTASKS\tREVISION")
+	for _, a := range s.Agents {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", a.Agent, agentCondition(a), a.FailureDomain, workerColumn(a), endpointColumn(a), a.Tasks, a.Revision)
+	}
+	for _, r := range s.Regions {
+		fmt.Fprintf(w, "\nREGION %s\tscheduler %s\tepoch %s\tjobs %d\tgangs %d\n", r.Region, r.Scheduler, r.Epoch, r.Jobs, r.Gangs)
+		f := r.Fragmentation
+		fmt.Fprintf(w, "free accelerators\t%d\tof no use to the largest shape\t%d\tutilisation\t%.0f%%\n", f.Free, f.Unusable, 100*f.Utilisation)
+		fmt.Fprintln(w, "WORKSPACE\tSHAPE\tADJACENCY\tPOSSIBLE\tCAUSE")
+		for _, g := range r.Guarantees {
+			fmt.Fprintf(w, "%s\t%d accelerators\t%s\t%d of %d\t%s\n", g.Workspace, g.Shape.Accelerators, g.Shape.Adjacency, g.Possible, g.Shape.Copies(), g.Cause)
+		}
+	}
+	for _, n := range s.Notes {
+		fmt.Fprintf(w, "\nnote: %s\n", n)
+	}
+}
+
+func agentCondition(a coordinator.AgentStatus) string {
+	if a.Silent {
+		return "Silent"
+	}
+	return string(a.State)
+}
+
+func workerColumn(a coordinator.AgentStatus) string {
+	if a.Worker == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%s (%d accelerators)", a.Worker.ID, a.Worker.Accelerators)
+}
+
+func endpointColumn(a coordinator.AgentStatus) string {
+	if a.Endpoint == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%s (%d of %d slots)", a.Endpoint.ID, a.Endpoint.Busy, a.Endpoint.Slots)
+}
+
+func (p *Program) auditCommand() *ffcli.Command {
+	f := newFlags("audit")
+	var c clientFlags
+	c.register(f)
+	return &ffcli.Command{
+		Name:       "audit",
+		ShortUsage: "persimmontrail audit [flags] [SUBJECT]",
+		ShortHelp:  "Show the newest audit records of an entry whose subject contains a text.",
+		FlagSet:    f,
+		Exec: func(ctx context.Context, args []string) error {
+			client, err := p.client(c)
+			if err != nil {
+				return err
+			}
+			subject := ""
+			if len(args) > 0 {
+				subject = args[0]
+			}
+			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+			defer cancel()
+			var answer struct{ Records []recorder.AuditRecord }
+			if err := client.call(ctx, http.MethodGet, "/v1/audit?subject="+url.QueryEscape(subject), nil, &answer); err != nil {
+				return err
+			}
+			return client.print(answer, func(w io.Writer) {
+				fmt.Fprintln(w, "TIME\tSUBJECT\tACTION\tREASON\tBY")
+				for _, r := range answer.Records {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.At.Format("15:04:05.000"), r.Subject, r.Action, r.Reason, r.By)
+				}
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/commander/server.go
@@ -0,0 +1,204 @@
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/internal/issuer"
+	"persimmontrail/internal/supervisor"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+// keyFlags name the key files of a process.
+type keyFlags struct {
+	files issuer.Files
+}
+
+func (k *keyFlags) register(f *flag.FlagSet) {
+	f.StringVar(&k.files.Authority, "tls-authority", "", "file with the certificate of the authority for the system's processes")
+	f.StringVar(&k.files.Certificate, "tls-certificate", "", "file with this process's certificate")
+	f.StringVar(&k.files.Key, "tls-key", "", "file with this process's private key")
+}
+
+func (k *keyFlags) load() (*issuer.Reloader, error) {
+	var faults validator.Errors
+	for _, f := range []struct{ name, value string }{
+		{"tls-authority", k.files.Authority},
+		{"tls-certificate", k.files.Certificate},
+		{"tls-key", k.files.Key},
+	} {
+		if f.value == "" {
+			faults = append(faults, validator.FieldError{Field: f.name, Reason: "must name a file; the command keys makes one for trials"})
+		}
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	r, err := issuer.Load(k.files)
+	if err != nil {
+		return nil, validator.Errors{{Field: "tls", Reason: err.Error()}}
+	}
+	return r, nil
+}
+
+// joinFaults collects the faults of several checks into one error, so that all are shown at once.
+func joinFaults(checks ...error) error {
+	var all validator.Errors
+	for _, err := range checks {
+		var faults validator.Errors
+		if errors.As(err, &faults) {
+			all = append(all, faults...)
+		} else if err != nil {
+			return err
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all
+}
+
+// uniqueName adds a random part, so that a restarted process is told from its predecessor.
+func uniqueName(name string) string {
+	var random [4]byte
+	_, _ = rand.Read(random[:])
+	return name + "-" + hex.EncodeToString(random[:])
+}
+
+// announce prints the addresses as one line of JSON, for whoever started the process with port 0.
+func (p *Program) announce(httpAddress, address string) {
+	line, _ := json.Marshal(struct{ HTTPAddress, Address string }{httpAddress, address})
+	fmt.Fprintln(p.Stdout, string(line))
+}
+
+func (p *Program) entryCommand() *ffcli.Command {
+	f := newFlags("entry")
+	var s coordinator.Settings
+	var logs logFlags
+	var keys keyFlags
+	var name, region, domain, tokenFile string
+	var httpFiles issuer.Files
+	f.StringVar(&name, "name", "entry", "name of this entry; a random part is added at each start")
+	f.StringVar(&region, "region", "", "region of this entry")
+	f.StringVar(&domain, "failure-domain", "", "failure domain of this entry")
+	f.StringVar(&s.Listen, "listen", "127.0.0.1:7400", "IP address and port for agents and entries, UDP and TCP")
+	f.StringVar(&s.HTTPListen, "http-listen", "127.0.0.1:7401", "IP address and port for callers and operators")
+	f.StringVar(&s.StoreURL, "store", "http://127.0.0.1:7000", "URL of the platform's store")
+	f.StringVar(&tokenFile, "operator-token-file", "", "file with the operator's token; without it everyone may act as operator")
+	f.StringVar(&httpFiles.Certificate, "http-tls-certificate", "", "file with the certificate for callers and operators; without it they use plain HTTP")
+	f.StringVar(&httpFiles.Key, "http-tls-key", "", "file with the private key for http-tls-certificate")
+	logs.register(f)
+	keys.register(f)
+	return &ffcli.Command{
+		Name:       "entry",
+		ShortUsage: "persimmontrail entry [flags]",
+		ShortHelp:  "Run an entry: HTTP for callers and operators, routing, and scheduling of a region.",
+		LongHelp: `Example:
+  persimmontrail entry --region qc-sud --failure-domain Montreal --store http://10.0.0.5:7000 \
+    --listen 10.0.0.7:7400 --http-listen 10.0.0.7:7401 \
+    --tls-authority keys/authority.pem --tls-certificate keys/entry.pem --tls-key keys/entry-key.pem
+
+SIGTERM shuts down gracefully within 30 s; a second signal stops at once.`,
+		FlagSet: f,
+		Exec: func(ctx context.Context, _ []string) error {
+			s.Name = descriptor.EntryID(uniqueName(name))
+			s.Region = descriptor.RegionID(region)
+			s.FailureDomain = descriptor.FailureDomainID(domain)
+			reloader, keyErr := keys.load()
+			logger, logErr := p.logger(logs, "entry")
+			token, tokenErr := readToken(tokenFile)
+			httpTLS, httpErr := loadHTTPKeys(httpFiles)
+			if err := joinFaults(s.Validate(), keyErr, logErr, tokenErr, httpErr); err != nil {
+				return err
+			}
+			s.Log = logger
+			s.OperatorToken = token
+			s.HTTPTLS = httpTLS
+			s.ServerTLS = reloader.ServerTLS()
+			s.ClientTLS = reloader.ClientTLS()
+			s.Ready = p.announce
+			return coordinator.Run(ctx, s)
+		},
+	}
+}
+
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", validator.Errors{{Field: "operator-token-file", Reason: err.Error()}}
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", validator.Errors{{Field: "operator-token-file", Reason: "is empty"}}
+	}
+	return token, nil
+}
+
+func (p *Program) agentCommand() *ffcli.Command {
+	f := newFlags("agent")
+	var s supervisor.Settings
+	var logs logFlags
+	var keys keyFlags
+	var name, region, domain, entries string
+	f.StringVar(&name, "name", "agent", "name of this agent; a random part is added at each start")
+	f.StringVar(&region, "region", "", "region of this agent")
+	f.StringVar(&domain, "failure-domain", "", "failure domain of this agent")
+	f.StringVar(&s.Listen, "listen", "127.0.0.1:7500", "IP address and port for entries, UDP and TCP")
+	f.StringVar(&s.HTTPListen, "http-listen", "127.0.0.1:7501", "IP address and port for the endpoint beside this agent")
+	f.StringVar(&entries, "entries", "", "addresses of entries of the region, separated by commas; the others are learned from them")
+	f.StringVar(&s.WorkerURL, "worker", "", "URL of the worker beside this agent; empty if it serves an endpoint only")
+	logs.register(f)
+	keys.register(f)
+	return &ffcli.Command{
+		Name:       "agent",
+		ShortUsage: "persimmontrail agent [flags]",
+		ShortHelp:  "Run the agent beside a worker or an endpoint.",
+		LongHelp: `Example:
+  persimmontrail agent --region qc-sud --failure-domain Montreal --entries 10.0.0.7:7400 \
+    --listen 10.0.1.4:7500 --worker http://127.0.0.1:7100 \
+    --tls-authority keys/authority.pem --tls-certificate keys/agent.pem --tls-key keys/agent-key.pem
+
+The endpoint beside the agent announces itself at http-listen. SIGTERM shuts down gracefully within 30 s.`,
+		FlagSet: f,
+		Exec: func(ctx context.Context, _ []string) error {
+			s.Name = uniqueName(name)
+			s.Region = descriptor.RegionID(region)
+			s.FailureDomain = descriptor.FailureDomainID(domain)
+			s.Entries = splitList(entries)
+			reloader, keyErr := keys.load()
+			logger, logErr := p.logger(logs, "agent")
+			if err := joinFaults(s.Validate(), keyErr, logErr); err != nil {
+				return err
+			}
+			s.Log = logger
+			s.ServerTLS = reloader.ServerTLS()
+			s.ClientTLS = reloader.ClientTLS()
+			s.Ready = p.announce
+			return supervisor.Run(ctx, s)
+		},
+	}
+}
+
+func splitList(text string) []string {
+	var list []string
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			list = append(list, part)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/coordinator/agents.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	// silentLimit is how long an agent may be silent before it gets no new work: three reports.
+	silentLimit = 1500 * time.Millisecond
+	// lostLimit is how long an agent must be silent before its tasks count as
+	// stopped. An agent that hears no entry stops its tasks after 30 s.
+	lostLimit = 35 * time.Second
+)
+
+// agentState is the last known state of one agent.
+type agentState struct {
+	report messenger.Report
+	// heardAt is when the last report arrived.
+	heardAt time.Time
+	// replaced is set when another run of an agent reports for the same worker.
+	replaced bool
+}
+
+func (a *agentState) isSilent(now time.Time) bool { return now.Sub(a.heardAt) > silentLimit }
+
+// isLost reports whether the agent's tasks can be taken as stopped.
+func (a *agentState) isLost(now time.Time) bool {
+	return a.replaced || now.Sub(a.heardAt) > lostLimit
+}
+
+// agentTable holds the agents of the region. Reports of one agent replace each other in order of sequence.
+type agentTable struct {
+	mu     sync.Mutex
+	agents map[string]*agentState
+	// byWorker maps each worker to the agent that reported it last.
+	byWorker map[descriptor.WorkerID]string
+	// changed holds the agents whose tasks were reported since the last call of takeChanged.
+	changed map[string]bool
+}
+
+// update stores a report. It returns the complete report and false when the
+// report is older than the one held. A report without the worker description is
+// completed from the one before, or resend is set if there is none.
+func (t *agentTable) update(r messenger.Report, now time.Time) (complete messenger.Report, fresh, resend bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.agents == nil {
+		t.agents = map[string]*agentState{}
+		t.byWorker = map[descriptor.WorkerID]string{}
+		t.changed = map[string]bool{}
+	}
+	a := t.agents[r.Agent]
+	if a != nil && r.Sequence <= a.report.Sequence {
+		return a.report, false, false
+	}
+	if r.Worker == nil && a != nil {
+		r.Worker = a.report.Worker
+	}
+	resend = a == nil && r.Sequence > 1 && r.Worker == nil
+	if a == nil {
+		a = &agentState{}
+		t.agents[r.Agent] = a
+	}
+	a.report = r
+	a.heardAt = now
+	a.replaced = false
+	t.changed[r.Agent] = true
+	if r.Worker != nil {
+		t.replaceAgentOf(r.Worker.ID, r.Agent)
+	}
+	return r, true, resend
+}
+
+func (t *agentTable) replaceAgentOf(w descriptor.WorkerID, agent string) {
+	before := t.byWorker[w]
+	t.byWorker[w] = agent
+	if before == "" || before == agent {
+		return
+	}
+	if a := t.agents[before]; a != nil {
+		a.replaced = true
+		t.changed[before] = true
+	}
+}
+
+// takeChanged returns the agents that reported since the last call.
+func (t *agentTable) takeChanged() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := make([]string, 0, len(t.changed))
+	for n := range t.changed {
+		names = append(names, n)
+	}
+	clear(t.changed)
+	slices.Sort(names)
+	return names
+}
+
+// get returns a copy of an agent's state.
+func (t *agentTable) get(agent string) (agentState, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.agents[agent]
+	if a == nil {
+		return agentState{}, false
+	}
+	return *a, true
+}
+
+// ofWorker returns the agent that reported a worker last.
+func (t *agentTable) ofWorker(w descriptor.WorkerID) (agentState, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.agents[t.byWorker[w]]
+	if a == nil {
+		return agentState{}, false
+	}
+	return *a, true
+}
+
+// all returns copies of all agents ordered by name.
+func (t *agentTable) all() []agentState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]agentState, 0, len(t.agents))
+	for _, a := range t.agents {
+		list = append(list, *a)
+	}
+	slices.SortFunc(list, func(a, b agentState) int {
+		if a.report.Agent < b.report.Agent {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// forget drops agents that have been silent for twice lostLimit and returns their names.
+func (t *agentTable) forget(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var gone []string
+	for n, a := range t.agents {
+		if now.Sub(a.heardAt) <= 2*lostLimit {
+			continue
+		}
+		delete(t.agents, n)
+		delete(t.changed, n)
+		if a.report.Worker != nil && t.byWorker[a.report.Worker.ID] == n {
+			delete(t.byWorker, a.report.Worker.ID)
+		}
+		gone = append(gone, n)
+	}
+	return gone
+}
--- /dev/null
+++ b/internal/coordinator/duty.go
@@ -0,0 +1,517 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	// commandQueue bounds the results of gang goroutines that wait for the loop.
+	commandQueue = 1024
+	// decideInterval bounds how long a change waits for a decision when no event wakes the loop.
+	decideInterval = 100 * time.Millisecond
+	// sweepInterval is the time between checks for silent agents and overdue members.
+	sweepInterval = 500 * time.Millisecond
+	// adoptionTime is how long a new scheduler collects reports before it stops
+	// gangs that are not complete: three reports.
+	adoptionTime = 1500 * time.Millisecond
+)
+
+// errNotScheduler means that the entry does not schedule its region now.
+var errNotScheduler = errors.New("this entry does not schedule the region")
+
+// schedulingDuty schedules the jobs of a region while the entry holds the
+// region's term. One goroutine owns the core and the gangs; goroutines that
+// talk to agents hand their results to it through commands.
+type schedulingDuty struct {
+	entry    *Entry
+	commands chan func()
+	wakeups  chan struct{}
+	// resigning is closed to give up the term, resigned when that is done.
+	resigning, resigned chan struct{}
+	records             *recordWriter
+
+	mu     sync.Mutex
+	active bool
+	// term tells that the store granted the duty; otherwise the entry acts during an outage.
+	term bool
+	// epoch is the one of this entry's current or last term.
+	epoch descriptor.Epoch
+	// highest epoch seen in the region; it only grows.
+	highest descriptor.Epoch
+	// attempts holds the attempt of each job that the scheduler is responsible
+	// for. Reports of other ended attempts need not be kept by agents.
+	attempts map[descriptor.JobKey]descriptor.Attempt
+	// settledAt is when the scheduler has seen all reports after it took over.
+	settledAt time.Time
+
+	// The fields below belong to the loop.
+	running    *termState
+	lastSweep  time.Time
+	background sync.WaitGroup
+}
+
+// termState is what the scheduler builds anew in each term.
+type termState struct {
+	epoch    descriptor.Epoch
+	core     scheduler.Core
+	revision descriptor.Revision
+	gangs    map[descriptor.JobKey]*gang
+	// known holds the workers that the core has, and whether they take new work.
+	known map[descriptor.WorkerID]bool
+	// submitted holds the jobs that were handed to the core.
+	submitted map[descriptor.JobKey]bool
+	// orphans are reported attempts without a gang.
+	orphans map[descriptor.JobKey]*orphan
+	// awaited are jobs that run at most once, were started in an earlier term and are not reported yet.
+	awaited map[descriptor.JobKey]bool
+	began   time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+func (d *schedulingDuty) wake() {
+	select {
+	case d.wakeups <- struct{}{}:
+	default:
+	}
+}
+
+// loop owns the core and the gangs.
+func (d *schedulingDuty) loop(ctx context.Context) {
+	var helpers sync.WaitGroup
+	helpers.Go(func() { d.termLoop(ctx) })
+	helpers.Go(func() { d.records.loop(ctx, d.entry) })
+	t := time.NewTicker(decideInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.endTerm()
+			d.drain()
+			helpers.Wait()
+			return
+		case f := <-d.commands:
+			f()
+		case <-d.wakeups:
+		case <-t.C:
+		}
+		d.runCommands()
+		d.step(ctx)
+	}
+}
+
+// runCommands runs what is queued without waiting.
+func (d *schedulingDuty) runCommands() {
+	for {
+		select {
+		case f := <-d.commands:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// drain waits for background goroutines, whose results no longer matter.
+func (d *schedulingDuty) drain() {
+	finished := make(chan struct{})
+	go func() {
+		d.background.Wait()
+		close(finished)
+	}()
+	for {
+		select {
+		case <-finished:
+			return
+		case <-d.commands:
+		}
+	}
+}
+
+// do runs f in the loop and waits for it.
+func (d *schedulingDuty) do(ctx context.Context, f func(*termState) error) error {
+	result := make(chan error, 1)
+	command := func() {
+		if d.running == nil {
+			result <- errNotScheduler
+			return
+		}
+		result <- f(d.running)
+	}
+	select {
+	case d.commands <- command:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// step brings the core up to date and carries out its decisions.
+func (d *schedulingDuty) step(ctx context.Context) {
+	active, epoch := d.state()
+	if d.running != nil && (!active || d.running.epoch != epoch) {
+		d.endTerm()
+	}
+	if !active {
+		return
+	}
+	if d.running == nil {
+		d.beginTerm(ctx, epoch)
+	}
+	now := d.entry.now()
+	t := d.running
+	d.syncConfiguration(t, now)
+	d.syncAgents(t, now)
+	d.syncJobs(t, now)
+	if now.Sub(d.lastSweep) >= sweepInterval {
+		d.lastSweep = now
+		d.sweep(t, now)
+	}
+	if !d.mayDecide(t, now) {
+		return
+	}
+	for _, c := range t.core.Decide(now) {
+		d.carryOut(t, c, now)
+	}
+}
+
+// mayDecide reports whether the view is complete enough and starts are permitted.
+func (d *schedulingDuty) mayDecide(t *termState, now time.Time) bool {
+	heardAll := now.Sub(d.entry.startedAt) > adoptionTime
+	return heardAll && d.entry.jobs.isComplete() && t.revision > 0 && d.entry.basis.permit(now).ValidFor > 0 && len(t.orphans) == 0
+}
+
+func (d *schedulingDuty) beginTerm(ctx context.Context, epoch descriptor.Epoch) {
+	now := d.entry.now()
+	t := &termState{
+		epoch:     epoch,
+		gangs:     map[descriptor.JobKey]*gang{},
+		known:     map[descriptor.WorkerID]bool{},
+		submitted: map[descriptor.JobKey]bool{},
+		orphans:   map[descriptor.JobKey]*orphan{},
+		awaited:   map[descriptor.JobKey]bool{},
+		began:     now,
+	}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	d.running = t
+	d.mu.Lock()
+	d.attempts = map[descriptor.JobKey]descriptor.Attempt{}
+	d.settledAt = now.Add(adoptionTime)
+	d.mu.Unlock()
+	d.syncConfiguration(t, now)
+	for _, a := range d.entry.agents.all() {
+		d.syncWorker(t, a, now)
+	}
+	for _, r := range d.entry.jobs.all() {
+		d.syncJob(t, r, now)
+	}
+	for _, a := range d.entry.agents.all() {
+		d.collectOrphans(t, a, now)
+	}
+	d.resolveOrphans(t, now)
+}
+
+func (d *schedulingDuty) endTerm() {
+	if d.running == nil {
+		return
+	}
+	d.running.cancel()
+	d.running = nil
+	d.mu.Lock()
+	d.attempts = nil
+	d.mu.Unlock()
+}
+
+func (d *schedulingDuty) syncConfiguration(t *termState, now time.Time) {
+	cfg := d.entry.basis.configuration()
+	if cfg == nil || cfg.Revision <= t.revision {
+		return
+	}
+	t.core.Configure(cfg, now)
+	t.revision = cfg.Revision
+}
+
+// syncAgents takes over the reports that arrived since the last step.
+func (d *schedulingDuty) syncAgents(t *termState, now time.Time) {
+	for _, name := range d.entry.agents.takeChanged() {
+		a, ok := d.entry.agents.get(name)
+		if !ok {
+			continue
+		}
+		d.syncWorker(t, a, now)
+		d.observeMembers(t, a, now)
+		d.collectOrphans(t, a, now)
+	}
+	d.resolveOrphans(t, now)
+}
+
+// syncWorker tells the core whether a worker takes new work.
+func (d *schedulingDuty) syncWorker(t *termState, a agentState, now time.Time) {
+	w := a.report.Worker
+	if w == nil || a.replaced {
+		return
+	}
+	usable := !a.isSilent(now) && a.report.State != messenger.AgentLeaving
+	before, known := t.known[w.ID]
+	switch {
+	case usable && !(known && before):
+		t.core.SetWorker(*w, now)
+		t.core.SetReachable(w.ID, true, now)
+	case !usable && known && before:
+		t.core.SetReachable(w.ID, false, now)
+	case !usable && !known:
+		return
+	}
+	t.known[w.ID] = usable
+}
+
+// syncJobs hands new and cancelled jobs to the core.
+func (d *schedulingDuty) syncJobs(t *termState, now time.Time) {
+	for _, r := range d.entry.jobs.takeChanged() {
+		d.syncJob(t, r, now)
+	}
+}
+
+func (d *schedulingDuty) syncJob(t *termState, r keeper.JobRecord, now time.Time) {
+	k := r.Job.Key()
+	switch {
+	case r.State == keeper.JobEnded:
+		d.forgetAttempt(t, k)
+		if t.submitted[k] && t.gangs[k] == nil {
+			delete(t.submitted, k)
+			_ = t.core.Cancel(k, now)
+		}
+	case r.Cancelled && t.submitted[k]:
+		if err := t.core.Cancel(k, now); err != nil {
+			d.entry.log.Warn("job not cancelled", "job", k, "err", err)
+		}
+		if t.gangs[k] == nil {
+			d.end(t, k, descriptor.ResultNotRun, "cancelled before it started")
+		}
+	case r.Cancelled:
+		d.end(t, k, descriptor.ResultNotRun, "cancelled before it started")
+	case !t.submitted[k]:
+		d.submit(t, r, now)
+	}
+}
+
+func (d *schedulingDuty) submit(t *termState, r keeper.JobRecord, now time.Time) {
+	k := r.Job.Key()
+	if t.revision == 0 {
+		return
+	}
+	t.submitted[k] = true
+	if r.Job.NonIdempotent && r.State == keeper.JobRunning {
+		// It was started in an earlier term and must not run again: its agents
+		// report it, or else its outcome stays unknown.
+		t.awaited[k] = true
+		return
+	}
+	if err := t.core.Resubmit(r.Job, r.Accepted, r.Attempt, now); err != nil {
+		d.entry.audit("job "+k.String(), "refused", err.Error())
+		d.end(t, k, descriptor.ResultNotRun, err.Error())
+	}
+}
+
+// end makes the end of a job durable. Until then agents keep their reports of it.
+func (d *schedulingDuty) end(t *termState, k descriptor.JobKey, result descriptor.Result, reason string) {
+	now := d.entry.now()
+	delete(t.submitted, k)
+	d.entry.audit("job "+k.String(), string(result), reason)
+	if r, ok := d.entry.jobs.get(k); ok {
+		d.entry.metrics.Completion("job", k.Workspace, r.Job.Class, result, now.Sub(r.Accepted))
+	}
+	d.records.add(k, func(r *keeper.JobRecord) error {
+		if r.State == keeper.JobEnded {
+			return errAlreadyEnded
+		}
+		r.State = keeper.JobEnded
+		r.Result = result
+		r.Reason = reason
+		r.EndedAt = now
+		return nil
+	})
+}
+
+// carryOut starts the goroutine that a decision asks for.
+func (d *schedulingDuty) carryOut(t *termState, c scheduler.Decision, now time.Time) {
+	d.entry.audit("job "+c.Key.String(), c.Kind.String(), c.Reason)
+	d.entry.metrics.Count("decisions_total", "kind", c.Kind.String())
+	switch c.Kind {
+	case scheduler.DecisionStart:
+		d.launch(t, c, now)
+	case scheduler.DecisionReclaim, scheduler.DecisionStop:
+		g := t.gangs[c.Key]
+		if g == nil || g.ref.Attempt != c.Attempt {
+			return
+		}
+		event := scheduler.Event{Key: c.Key, Attempt: c.Attempt, Kind: scheduler.EventStopped, Cause: c.Reason}
+		d.stop(t, g, c.Grace, event)
+	case scheduler.DecisionEnd:
+		result := descriptor.ResultNotRun
+		if c.Attempt > 0 {
+			result = descriptor.ResultFailed
+		}
+		d.end(t, c.Key, result, c.Reason)
+	}
+}
+
+func (d *schedulingDuty) launch(t *termState, c scheduler.Decision, now time.Time) {
+	r, ok := d.entry.jobs.get(c.Key)
+	if !ok {
+		return
+	}
+	g := &gang{
+		ref:   messenger.GangRef{Key: c.Key, Attempt: c.Attempt, Epoch: t.epoch},
+		job:   r.Job,
+		phase: phaseStarting,
+	}
+	d.manage(t, g)
+	for _, a := range c.Placement {
+		s, ok := d.entry.agents.ofWorker(a.Worker)
+		if !ok {
+			d.settleStart(t, g, refusal{worker: a.Worker, text: "no agent reports this worker"})
+			return
+		}
+		g.members = append(g.members, member{agent: s.report.Agent, address: s.report.Address, worker: a.Worker, tasks: a.Tasks})
+	}
+	d.startInBackground(t, g, d.startGang)
+}
+
+// manage makes the scheduler responsible for an attempt.
+func (d *schedulingDuty) manage(t *termState, g *gang) {
+	t.gangs[g.ref.Key] = g
+	d.mu.Lock()
+	d.attempts[g.ref.Key] = g.ref.Attempt
+	d.mu.Unlock()
+}
+
+// dismiss ends the responsibility for an attempt.
+func (d *schedulingDuty) dismiss(t *termState, g *gang) {
+	if t.gangs[g.ref.Key] != g {
+		return
+	}
+	delete(t.gangs, g.ref.Key)
+	d.mu.Lock()
+	delete(d.attempts, g.ref.Key)
+	d.mu.Unlock()
+}
+
+// forgetAttempt drops the attempt of a job whose end is durable.
+func (d *schedulingDuty) forgetAttempt(t *termState, k descriptor.JobKey) {
+	delete(t.awaited, k)
+	if t.gangs[k] != nil {
+		return
+	}
+	d.mu.Lock()
+	delete(d.attempts, k)
+	d.mu.Unlock()
+}
+
+func (d *schedulingDuty) startInBackground(t *termState, g *gang, start func(context.Context, *gang) error) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	g.cancelStart = cancel
+	d.background.Go(func() {
+		err := start(ctx, g)
+		cancel()
+		d.commands <- func() {
+			if d.running == t {
+				d.settleStart(t, g, err)
+			}
+		}
+	})
+}
+
+// settleStart records that a gang runs, or stops what there is of it.
+func (d *schedulingDuty) settleStart(t *termState, g *gang, err error) {
+	now := d.entry.now()
+	if g.phase == phaseStopping {
+		return
+	}
+	if err == nil {
+		g.phase = phaseRunning
+		g.started = now
+		t.core.Observe(scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventStarted}, now)
+		if r, ok := d.entry.jobs.get(g.ref.Key); ok {
+			d.entry.metrics.Duration("job_wait_seconds", now.Sub(r.Accepted), "workspace", string(g.job.Workspace), "class", string(g.job.Class))
+		}
+		d.recordRunning(g)
+		return
+	}
+	event := scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventNotStarted, Cause: err.Error()}
+	var r refusal
+	if errors.As(err, &r) {
+		event.Worker = r.worker
+	}
+	d.entry.audit("job "+g.ref.Key.String(), "not started", err.Error())
+	d.stop(t, g, 0, event)
+}
+
+// recordRunning makes the attempt of an idempotent job known to a successor. A
+// job that runs at most once was claimed before the start.
+func (d *schedulingDuty) recordRunning(g *gang) {
+	if g.job.NonIdempotent {
+		return
+	}
+	ref := g.ref
+	d.records.add(ref.Key, func(r *keeper.JobRecord) error {
+		if r.State == keeper.JobEnded || r.Attempt > ref.Attempt {
+			return errAlreadyEnded
+		}
+		r.State = keeper.JobRunning
+		r.Attempt = ref.Attempt
+		r.Epoch = ref.Epoch
+		return nil
+	})
+}
+
+// stop stops all members and then tells the core what became of the attempt.
+func (d *schedulingDuty) stop(t *termState, g *gang, grace time.Duration, event scheduler.Event) {
+	if g.phase == phaseStopping {
+		return
+	}
+	wasStarting := g.phase == phaseStarting
+	g.phase = phaseStopping
+	g.outcome = event
+	if g.cancelStart != nil {
+		g.cancelStart()
+	}
+	d.background.Go(func() {
+		never := d.stopGang(t.ctx, g, grace, event.Cause)
+		d.commands <- func() {
+			if d.running == t {
+				d.settleStop(t, g, wasStarting && never)
+			}
+		}
+	})
+}
+
+// settleStop tells the core the outcome of an attempt that has stopped.
+func (d *schedulingDuty) settleStop(t *termState, g *gang, neverStarted bool) {
+	now := d.entry.now()
+	k := g.ref.Key
+	r, _ := d.entry.jobs.get(k)
+	d.dismiss(t, g)
+	t.core.Observe(g.outcome, now)
+	switch {
+	case r.Cancelled:
+		d.end(t, k, descriptor.ResultFailed, "cancelled")
+	case g.job.NonIdempotent && !neverStarted:
+		_ = t.core.Cancel(k, now)
+		d.end(t, k, descriptor.ResultUnknown, "the job runs at most once and its attempt ended without a result: "+g.outcome.Cause)
+	}
+	d.wake()
+}
--- /dev/null
+++ b/internal/coordinator/entry.go
@@ -0,0 +1,267 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"persimmontrail/internal/dispatcher"
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/recorder"
+	"persimmontrail/pkg/descriptor"
+)
+
+// shutdownLimit bounds a graceful shutdown.
+const shutdownLimit = 30 * time.Second
+
+// Entry is one entry process.
+type Entry struct {
+	settings Settings
+	log      *log.Logger
+	now      func() time.Time
+	call     CallFunc
+	client   *messenger.Client
+	server   *messenger.Server
+	// address is where agents and other entries reach this entry.
+	address     string
+	httpAddress string
+
+	store          *keeper.Store
+	configurations keeper.Configurations
+	claims         keeper.Claims
+	basis          basis
+	peers          peers
+	agents         agentTable
+	router         dispatcher.Router
+	jobs           jobCache
+	duty           schedulingDuty
+	metrics        recorder.Metrics
+	trail          recorder.Trail
+	startedAt      time.Time
+	// writes numbers this entry's changes of the configuration, so that each can be recognised.
+	writes atomic.Int64
+	// leaving is set when a graceful shutdown begins.
+	leaving atomic.Bool
+	// serving counts requests of callers that are not answered yet.
+	serving sync.WaitGroup
+}
+
+// Run runs an entry until ctx ends, then shuts it down gracefully.
+func Run(ctx context.Context, s Settings) error {
+	if err := s.Validate(); err != nil {
+		return err
+	}
+	e := newEntry(s)
+	return e.run(ctx)
+}
+
+func newEntry(s Settings) *Entry {
+	e := &Entry{settings: s, log: s.Log, now: s.Now, call: s.Call, store: s.Store}
+	if e.log == nil {
+		e.log = log.New(io.Discard)
+	}
+	if e.now == nil {
+		e.now = time.Now
+	}
+	if e.store == nil {
+		e.store = keeper.NewHTTPStore(s.StoreURL)
+	}
+	if e.call == nil {
+		e.client = &messenger.Client{TLS: s.ClientTLS}
+		e.call = e.client.Call
+	}
+	e.configurations = keeper.Configurations{Store: e.store}
+	e.claims = keeper.Claims{Store: e.store}
+	e.router.Region = s.Region
+	e.router.FailureDomain = s.FailureDomain
+	e.router.Now = e.now
+	e.router.LinkCost = linkCost
+	e.jobs.region = s.Region
+	e.duty.entry = e
+	e.duty.commands = make(chan func(), commandQueue)
+	e.peers.entry = e
+	e.duty.wakeups = make(chan struct{}, 1)
+	e.duty.resigning = make(chan struct{})
+	e.duty.resigned = make(chan struct{})
+	e.duty.records = newRecordWriter()
+	e.startedAt = e.now()
+	e.registerGauges()
+	return e
+}
+
+func (e *Entry) run(ctx context.Context) error {
+	e.server = &messenger.Server{Address: e.settings.Listen, TLS: e.settings.ServerTLS, Handle: e.handle}
+	if err := e.server.Listen(); err != nil {
+		return fmt.Errorf("listen for agents and entries: %w", err)
+	}
+	e.address = e.server.Addr()
+	listener, err := net.Listen("tcp", e.settings.HTTPListen)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	e.httpAddress = listener.Addr().String()
+	if e.settings.HTTPTLS != nil {
+		listener = tls.NewListener(listener, e.settings.HTTPTLS)
+	}
+	web := &http.Server{Handler: e.mux(), ReadHeaderTimeout: 5 * time.Second}
+
+	// Duties outlive ctx, so that running requests can finish during the shutdown.
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	var running sync.WaitGroup
+	failed := make(chan error, 2)
+	running.Go(func() { failed <- e.server.Serve(duties) })
+	running.Go(func() { failed <- web.Serve(listener) })
+	running.Go(func() { e.confirmLoop(duties) })
+	running.Go(func() { e.peers.loop(duties) })
+	running.Go(func() { e.jobs.loop(duties, e) })
+	running.Go(func() { e.duty.loop(duties) })
+	e.log.Info("entry listens", "name", e.settings.Name, "http", e.httpAddress, "address", e.address)
+	if e.settings.Ready != nil {
+		e.settings.Ready(e.httpAddress, e.address)
+	}
+
+	var result error
+	select {
+	case <-ctx.Done():
+	case result = <-failed:
+	}
+	e.shutdown(web)
+	stopDuties()
+	running.Wait()
+	return ignoreClosed(result)
+}
+
+// shutdown stops taking work, lets running requests finish and gives up the
+// term and the membership, in this order and within shutdownLimit.
+func (e *Entry) shutdown(web *http.Server) {
+	e.log.Info("entry leaves", "limit", shutdownLimit)
+	e.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	e.duty.release(ctx)
+	e.peers.leave(ctx)
+	if err := web.Shutdown(ctx); err != nil {
+		e.log.Warn("requests were cut at the limit of the shutdown", "err", err)
+	}
+	if err := e.server.Shutdown(ctx); err != nil {
+		e.log.Warn("messages were cut at the limit of the shutdown", "err", err)
+	}
+	e.serving.Wait()
+	if e.client != nil {
+		_ = e.client.Close()
+	}
+	e.log.Info("entry stopped")
+}
+
+func ignoreClosed(err error) error {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (e *Entry) registerGauges() {
+	e.metrics.Gauge("configuration_revision", func() float64 { return float64(e.basis.revision()) })
+	e.metrics.Gauge("configuration_basis_age_seconds", func() float64 {
+		age, _ := e.basis.age(e.now())
+		return age.Seconds()
+	})
+	e.metrics.Gauge("store_reached", func() float64 { return asNumber(e.basis.storeReached(e.now())) })
+	e.metrics.Gauge("scheduler", func() float64 { return asNumber(e.duty.isActive()) })
+	e.metrics.Gauge("agents", func() float64 { return float64(len(e.agents.all())) })
+}
+
+func asNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (e *Entry) audit(subject, action, reason string) {
+	e.trail.Add(recorder.AuditRecord{At: e.now(), Subject: subject, Action: action, Reason: reason, By: string(e.settings.Name)})
+}
+
+// handle serves messages of agents and other entries.
+func (e *Entry) handle(ctx context.Context, from messenger.Identity, kind messenger.Kind, body []byte) (any, error) {
+	if kind != messenger.KindReport && from.Role != messenger.RoleEntry {
+		return nil, fmt.Errorf("role %s may not send %s", from.Role, kind)
+	}
+	switch kind {
+	case messenger.KindReport:
+		return decodeAndHandle(body, func(r messenger.Report) (any, error) { return e.handleReport(r), nil })
+	case messenger.KindPeer:
+		return decodeAndHandle(body, func(p messenger.Peer) (any, error) { return e.peers.answer(p), nil })
+	case messenger.KindJobChanged:
+		return decodeAndHandle(body, func(c messenger.JobChanged) (any, error) { return e.handleJobChanged(c) })
+	case messenger.KindForward:
+		return decodeAndHandle(body, func(f messenger.Forward) (any, error) { return e.handleForward(ctx, f), nil })
+	case messenger.KindExplain:
+		return decodeAndHandle(body, func(q messenger.ExplainQuery) (any, error) { return e.duty.explainDocument(ctx, q.Key) })
+	case messenger.KindStatus:
+		return decodeAndHandle(body, func(messenger.StatusQuery) (any, error) { return e.duty.statusDocument(ctx) })
+	default:
+		return nil, fmt.Errorf("entry does not serve %s", kind)
+	}
+}
+
+func decodeAndHandle[T any](body []byte, handle func(T) (any, error)) (any, error) {
+	var request T
+	if err := messenger.Decode(body, &request); err != nil {
+		return nil, err
+	}
+	return handle(request)
+}
+
+// handleReport takes over what an agent tells and answers with its permit.
+func (e *Entry) handleReport(r messenger.Report) messenger.ReportAnswer {
+	now := e.now()
+	complete, fresh, resend := e.agents.update(r, now)
+	if fresh && complete.Endpoint != nil {
+		e.router.Update(endpointState(complete), now)
+	}
+	if fresh && complete.Endpoint == nil {
+		e.router.Remove(complete.Agent)
+	}
+	answer := messenger.ReportAnswer{
+		Permit:    e.basis.permit(now),
+		Entries:   e.peers.addressesIn(e.settings.Region),
+		Scheduler: e.duty.isActive(),
+		Epoch:     e.duty.epochSeen(),
+		Resend:    resend,
+	}
+	answer.Acknowledged = e.duty.acknowledge(r.Tasks)
+	if fresh && len(r.Tasks) > 0 {
+		e.duty.wake()
+	}
+	return answer
+}
+
+func endpointState(r messenger.Report) dispatcher.EndpointState {
+	return dispatcher.EndpointState{
+		Agent:         r.Agent,
+		Address:       r.Address,
+		Sequence:      r.Sequence,
+		Endpoint:      r.Endpoint.ID,
+		Service:       r.Endpoint.Service,
+		FailureDomain: r.FailureDomain,
+		Region:        r.Region,
+		Slots:         r.Endpoint.Slots,
+		Busy:          r.Endpoint.Busy,
+		Queued:        r.Endpoint.Queued,
+		Connections:   r.Endpoint.Connections,
+		Healthy:       r.Endpoint.Healthy,
+		Leaving:       r.State == messenger.AgentLeaving,
+	}
+}
--- /dev/null
+++ b/internal/coordinator/http.go
@@ -0,0 +1,322 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+// maxHTTPBody bounds what a caller or operator may send. A request's body of
+// validator.MaxBody takes a third more in base64.
+const maxHTTPBody = 2_000_000
+
+// Problem is the body of every answer that is an error.
+type Problem struct {
+	Error string
+	// Fields lists the faults of an invalid object.
+	Fields []validator.FieldError `json:",omitempty"`
+	// Result is NotRun when it is certain that nothing ran.
+	Result descriptor.Result `json:",omitempty"`
+}
+
+// httpError is an error with its HTTP status.
+type httpError struct {
+	status  int
+	problem Problem
+}
+
+func (e *httpError) Error() string { return e.problem.Error }
+
+func failf(status int, format string, args ...any) error {
+	return &httpError{status: status, problem: Problem{Error: fmt.Sprintf(format, args...)}}
+}
+
+// notRun is the error of work that certainly did not start.
+func notRun(status int, format string, args ...any) error {
+	return &httpError{status: status, problem: Problem{Error: fmt.Sprintf(format, args...), Result: descriptor.ResultNotRun}}
+}
+
+// mux returns the handlers for callers and operators.
+func (e *Entry) mux() *http.ServeMux {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	m.HandleFunc("GET /readyz", e.serveReady)
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.writeMetrics(w) })
+	m.HandleFunc("POST /v1/requests", e.asCaller(e.postRequest))
+	m.HandleFunc("GET /v1/requests/{workspace}/{id}", e.asCaller(e.getRequest))
+	m.HandleFunc("POST /v1/jobs", e.asCaller(e.postJob))
+	m.HandleFunc("GET /v1/jobs", e.asCaller(e.listJobs))
+	m.HandleFunc("GET /v1/jobs/{workspace}/{id}", e.asCaller(e.getJob))
+	m.HandleFunc("GET /v1/jobs/{workspace}/{id}/explain", e.asCaller(e.explainJob))
+	m.HandleFunc("DELETE /v1/jobs/{workspace}/{id}", e.asCaller(e.cancelJob))
+	m.HandleFunc("GET /v1/configuration", e.asOperator(e.getConfiguration))
+	m.HandleFunc("PUT /v1/configuration", e.asOperator(e.putConfiguration))
+	m.HandleFunc("GET /v1/failure-domains", e.asOperator(e.listDomains))
+	m.HandleFunc("PUT /v1/failure-domains/{name}", e.asOperator(e.putDomain))
+	m.HandleFunc("GET /v1/status", e.asOperator(e.getStatus))
+	m.HandleFunc("GET /v1/audit", e.asOperator(e.getAudit))
+	return m
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case e.leaving.Load():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case e.basis.configuration() == nil:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ready")
+	}
+}
+
+func (e *Entry) writeMetrics(w io.Writer) {
+	e.metrics.Write(w)
+	if e.client == nil {
+		return
+	}
+	for kind, n := range e.client.Bytes() {
+		fmt.Fprintf(w, "persimmontrail_message_bytes_total{kind=%q} %d\n", kind, n)
+	}
+}
+
+// caller is who sent a request.
+type caller struct {
+	// workspace is the only one that the caller may act for; empty means any.
+	workspace descriptor.WorkspaceID
+	operator  bool
+}
+
+func (c caller) mayUse(w descriptor.WorkspaceID) bool { return c.workspace == "" || c.workspace == w }
+
+type handlerFunc func(ctx context.Context, c caller, r *http.Request) (any, error)
+
+func (e *Entry) asCaller(h handlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := e.authenticate(r)
+		e.answer(w, r, h, c, err)
+	}
+}
+
+func (e *Entry) asOperator(h handlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := e.authenticate(r)
+		if err == nil && !c.operator {
+			err = failf(http.StatusForbidden, "this call needs the operator's token")
+		}
+		e.answer(w, r, h, c, err)
+	}
+}
+
+func (e *Entry) answer(w http.ResponseWriter, r *http.Request, h handlerFunc, c caller, err error) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxHTTPBody)
+	var body any
+	if err == nil {
+		body, err = h(r.Context(), c, r)
+	}
+	if err != nil {
+		status, p := problemOf(err)
+		e.metrics.Count("http_errors_total", "status", fmt.Sprint(status))
+		writeJSON(w, status, p)
+		return
+	}
+	status := http.StatusOK
+	if s, ok := body.(interface{ status() int }); ok {
+		status = s.status()
+	}
+	writeJSON(w, status, body)
+}
+
+func problemOf(err error) (int, Problem) {
+	var h *httpError
+	var fields validator.Errors
+	switch {
+	case errors.As(err, &h):
+		return h.status, h.problem
+	case errors.As(err, &fields):
+		return http.StatusUnprocessableEntity, Problem{Error: err.Error(), Fields: fields, Result: descriptor.ResultNotRun}
+	case errors.Is(err, keeper.ErrNotFound):
+		return http.StatusNotFound, Problem{Error: err.Error()}
+	case isStoreError(err):
+		return http.StatusServiceUnavailable, Problem{Error: err.Error()}
+	default:
+		return http.StatusInternalServerError, Problem{Error: err.Error()}
+	}
+}
+
+func isStoreError(err error) bool {
+	return errors.Is(err, keeper.ErrUnavailable) || errors.Is(err, keeper.ErrOutcomeUnknown) ||
+		errors.Is(err, keeper.ErrLimited) || errors.Is(err, context.DeadlineExceeded)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+		data = []byte(`{"Error":"answer cannot be written as JSON"}`)
+	}
+	data = append(data, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// authenticate finds out who sent a request. Tokens of workspaces are checked
+// once any workspace has one, the operator's token once it is set.
+func (e *Entry) authenticate(r *http.Request) (caller, error) {
+	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if e.settings.OperatorToken == "" {
+		return e.authenticateWorkspace(token, caller{operator: true})
+	}
+	if subtle.ConstantTimeCompare([]byte(token), []byte(e.settings.OperatorToken)) == 1 {
+		return caller{operator: true}, nil
+	}
+	return e.authenticateWorkspace(token, caller{})
+}
+
+func (e *Entry) authenticateWorkspace(token string, anonymous caller) (caller, error) {
+	cfg := e.basis.configuration()
+	if cfg == nil {
+		return anonymous, nil
+	}
+	sum := sha256.Sum256([]byte(token))
+	hash := hex.EncodeToString(sum[:])
+	required := false
+	for _, w := range cfg.Workspaces {
+		if w.TokenHash == "" {
+			continue
+		}
+		required = true
+		if token != "" && subtle.ConstantTimeCompare([]byte(w.TokenHash), []byte(hash)) == 1 {
+			return caller{workspace: w.Name, operator: anonymous.operator}, nil
+		}
+	}
+	if required && !anonymous.operator || token != "" {
+		return caller{}, failf(http.StatusUnauthorized, "the token belongs to no workspace and is not the operator's")
+	}
+	return anonymous, nil
+}
+
+// decodeBody reads JSON strictly: an unknown field is an error that names it.
+func decodeBody(r *http.Request, v any) error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return notRun(http.StatusRequestEntityTooLarge, "Body: is larger than %d bytes", tooLarge.Limit)
+		}
+		return notRun(http.StatusBadRequest, "body: %v", err)
+	}
+	return nil
+}
+
+func (e *Entry) requireConfiguration() (*descriptor.Configuration, error) {
+	cfg := e.basis.configuration()
+	if cfg == nil {
+		return nil, notRun(http.StatusServiceUnavailable, "no configuration has been accepted yet")
+	}
+	return cfg, nil
+}
+
+// RequestAnswer is the answer to a request.
+type RequestAnswer struct {
+	Request   descriptor.RequestID
+	Workspace descriptor.WorkspaceID
+	Result    descriptor.Result
+	Body      []byte `json:",omitempty"`
+	Reason    string `json:",omitempty"`
+	// Running is set while the request still runs.
+	Running  bool                  `json:",omitempty"`
+	Endpoint descriptor.EndpointID `json:",omitempty"`
+}
+
+func (a RequestAnswer) status() int {
+	switch a.Result {
+	case descriptor.ResultDone:
+		return http.StatusOK
+	case descriptor.ResultNotRun:
+		return http.StatusServiceUnavailable
+	case descriptor.ResultFailed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusAccepted
+	}
+}
+
+func (e *Entry) postRequest(ctx context.Context, c caller, r *http.Request) (any, error) {
+	var request descriptor.Request
+	if err := decodeBody(r, &request); err != nil {
+		return nil, err
+	}
+	cfg, err := e.requireConfiguration()
+	if err != nil {
+		return nil, err
+	}
+	if request.Workspace == "" {
+		request.Workspace = c.workspace
+	}
+	if !c.mayUse(request.Workspace) {
+		return nil, notRun(http.StatusForbidden, "Workspace: the token is not one of workspace %q", request.Workspace)
+	}
+	if err := validator.Request(&request, cfg); err != nil {
+		return nil, err
+	}
+	if e.leaving.Load() {
+		return nil, notRun(http.StatusServiceUnavailable, "this entry is leaving")
+	}
+	// A caller that hangs up does not end a request that runs at most once: its outcome is still recorded.
+	class := *validator.FindClass(cfg, request.Class)
+	if class.NonIdempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	a := e.serve(ctx, request, class, false)
+	return RequestAnswer{
+		Request:   request.ID,
+		Workspace: request.Workspace,
+		Result:    a.Result,
+		Body:      a.Body,
+		Reason:    a.Reason,
+		Running:   a.Running,
+		Endpoint:  a.Endpoint,
+	}, nil
+}
+
+func (e *Entry) getRequest(ctx context.Context, c caller, r *http.Request) (any, error) {
+	w := descriptor.WorkspaceID(r.PathValue("workspace"))
+	if !c.mayUse(w) {
+		return nil, failf(http.StatusNotFound, "no such request")
+	}
+	a, err := e.lookUpRequest(ctx, w, descriptor.RequestID(r.PathValue("id")))
+	if err != nil {
+		return nil, err
+	}
+	return RequestAnswer{Request: a.Request, Workspace: w, Result: a.Result, Body: a.Body, Reason: a.Reason, Running: a.Running, Endpoint: a.Endpoint}, nil
+}
+
+func formatRevision(r descriptor.Revision) string { return fmt.Sprint(int64(r)) }
+
+// formatEpoch writes an epoch as the term of the store and, during an outage, the number of the acting scheduler.
+func formatEpoch(e descriptor.Epoch) string {
+	term := e >> actingBits
+	acting := e & (1<<actingBits - 1)
+	if acting == 0 {
+		return fmt.Sprint(int64(term))
+	}
+	return fmt.Sprintf("%d+%d", int64(term), int64(acting))
+}
+
+// retryInterval is the time between tries of an operator's change that lost a race.
+const retryInterval = 20 * time.Millisecond
--- /dev/null
+++ b/internal/coordinator/jobapi.go
@@ -0,0 +1,305 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+// acceptTimeout bounds the write that makes a job durable.
+const acceptTimeout = 3 * time.Second
+
+// JobView is what callers see of a job.
+type JobView struct {
+	Job       descriptor.Job
+	Accepted  time.Time
+	State     keeper.JobState
+	Attempt   descriptor.Attempt `json:",omitempty"`
+	Cancelled bool               `json:",omitempty"`
+	Result    descriptor.Result  `json:",omitempty"`
+	Reason    string             `json:",omitempty"`
+	EndedAt   *time.Time         `json:",omitempty"`
+}
+
+func viewOf(r keeper.JobRecord) JobView {
+	v := JobView{Job: r.Job, Accepted: r.Accepted, State: r.State, Attempt: r.Attempt, Cancelled: r.Cancelled, Result: r.Result, Reason: r.Reason}
+	if !r.EndedAt.IsZero() {
+		v.EndedAt = &r.EndedAt
+	}
+	return v
+}
+
+// postJob accepts a job: it is checked, made durable, and only then announced to the scheduler.
+func (e *Entry) postJob(ctx context.Context, c caller, r *http.Request) (any, error) {
+	var job descriptor.Job
+	if err := decodeBody(r, &job); err != nil {
+		return nil, err
+	}
+	cfg, err := e.requireConfiguration()
+	if err != nil {
+		return nil, err
+	}
+	if job.Workspace == "" {
+		job.Workspace = c.workspace
+	}
+	if !c.mayUse(job.Workspace) {
+		return nil, notRun(http.StatusForbidden, "Workspace: the token is not one of workspace %q", job.Workspace)
+	}
+	if job.Region == "" {
+		job.Region = e.settings.Region
+	}
+	if class := validator.FindClass(cfg, job.Class); class != nil && class.NonIdempotent {
+		job.NonIdempotent = true
+	}
+	if err := validator.Job(&job, cfg); err != nil {
+		return nil, err
+	}
+	if e.leaving.Load() {
+		return nil, notRun(http.StatusServiceUnavailable, "this entry is leaving")
+	}
+	if err := e.checkFits(&job, cfg); err != nil {
+		return nil, err
+	}
+	record, err := e.acceptJob(ctx, job)
+	if err != nil {
+		return nil, err
+	}
+	return viewOf(record), nil
+}
+
+// checkFits refuses a job that no failure domain can hold with all workers up and empty.
+func (e *Entry) checkFits(job *descriptor.Job, cfg *descriptor.Configuration) error {
+	workers := validator.ExpectedWorkers(cfg)
+	if job.Region == e.settings.Region {
+		for _, a := range e.agents.all() {
+			if a.report.Worker != nil && !a.replaced {
+				workers = append(workers, *a.report.Worker)
+			}
+		}
+	}
+	if len(workers) == 0 {
+		return nil
+	}
+	var core scheduler.Core
+	now := e.now()
+	core.Configure(cfg, now)
+	for _, w := range workers {
+		if w.Cores == 0 && w.Memory == 0 {
+			// The expected fleet states accelerators only.
+			w.Cores = descriptor.Cores(1e6)
+			w.Memory = descriptor.Megabytes(1e12)
+		}
+		if w.Region == job.Region {
+			core.SetWorker(w, now)
+		}
+	}
+	if err := core.Submit(*job, now, now); errors.Is(err, scheduler.ErrNeverFits) {
+		return validator.Errors{{Field: "Tasks", Reason: err.Error()}}
+	}
+	return nil
+}
+
+func (e *Entry) acceptJob(ctx context.Context, job descriptor.Job) (keeper.JobRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	jobs := keeper.Jobs{Store: e.store, Region: job.Region}
+	record, err := jobs.Accept(ctx, keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobWaiting})
+	switch {
+	case errors.Is(err, keeper.ErrConflict):
+		return record, notRun(http.StatusConflict, "ID: workspace %q has another job %q", job.Workspace, job.ID)
+	case err != nil && errors.Is(err, keeper.ErrOutcomeUnknown):
+		return record, failf(http.StatusServiceUnavailable, "it is not known whether the job was recorded, repeat the call with the same ID: %v", err)
+	case err != nil:
+		return record, notRun(http.StatusServiceUnavailable, "the job could not be recorded: %v", err)
+	}
+	e.audit("job "+job.Key().String(), "accepted", fmt.Sprintf("%d tasks of %d accelerators", job.Tasks, job.PerTask.Accelerators))
+	e.announceJob(record)
+	return record, nil
+}
+
+// announceJob tells the entries of the job's region. A lost message costs at most jobRefresh.
+func (e *Entry) announceJob(record keeper.JobRecord) {
+	change := messenger.JobChanged{
+		Job:       record.Job,
+		Accepted:  record.Accepted,
+		Cancelled: record.Cancelled,
+		Ended:     record.State == keeper.JobEnded,
+		Result:    record.Result,
+		Reason:    record.Reason,
+		EndedAt:   record.EndedAt,
+	}
+	for _, p := range e.peers.live(record.Job.Region, e.now()) {
+		if p.Entry == e.settings.Name {
+			e.jobs.put(record)
+			e.duty.wake()
+			continue
+		}
+		e.serving.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+			defer cancel()
+			var empty messenger.Empty
+			_ = e.call(ctx, p.Address, messenger.KindJobChanged, change, &empty)
+		})
+	}
+}
+
+func (e *Entry) handleJobChanged(c messenger.JobChanged) (any, error) {
+	record := keeper.JobRecord{Job: c.Job, Accepted: c.Accepted, State: keeper.JobWaiting, Cancelled: c.Cancelled}
+	if before, ok := e.jobs.get(c.Job.Key()); ok {
+		record.State = before.State
+		record.Attempt = before.Attempt
+		record.Epoch = before.Epoch
+	}
+	if c.Ended {
+		record.State = keeper.JobEnded
+		record.Result = c.Result
+		record.Reason = c.Reason
+		record.EndedAt = c.EndedAt
+	}
+	e.jobs.put(record)
+	e.duty.wake()
+	return messenger.Empty{}, nil
+}
+
+// findJob looks in the cache, then in the store of every region.
+func (e *Entry) findJob(ctx context.Context, k descriptor.JobKey) (keeper.JobRecord, error) {
+	if r, ok := e.jobs.get(k); ok {
+		return r, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	for _, region := range append([]descriptor.RegionID{e.settings.Region}, e.otherRegions()...) {
+		jobs := keeper.Jobs{Store: e.store, Region: region}
+		r, err := jobs.Get(ctx, k)
+		if err == nil {
+			return r, nil
+		}
+		if !errors.Is(err, keeper.ErrNotFound) {
+			return r, err
+		}
+	}
+	return keeper.JobRecord{}, failf(http.StatusNotFound, "no job %s", k)
+}
+
+func keyOf(r *http.Request, c caller) (descriptor.JobKey, error) {
+	k := descriptor.JobKey{Workspace: descriptor.WorkspaceID(r.PathValue("workspace")), Job: descriptor.JobID(r.PathValue("id"))}
+	if !c.mayUse(k.Workspace) {
+		return k, failf(http.StatusNotFound, "no job %s", k)
+	}
+	return k, nil
+}
+
+func (e *Entry) getJob(ctx context.Context, c caller, r *http.Request) (any, error) {
+	k, err := keyOf(r, c)
+	if err != nil {
+		return nil, err
+	}
+	record, err := e.findJob(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	return viewOf(record), nil
+}
+
+// listJobs lists the jobs of this entry's region that the caller may see.
+func (e *Entry) listJobs(_ context.Context, c caller, _ *http.Request) (any, error) {
+	views := []JobView{}
+	for _, r := range e.jobs.all() {
+		if c.mayUse(r.Job.Workspace) {
+			views = append(views, viewOf(r))
+		}
+	}
+	return struct{ Jobs []JobView }{views}, nil
+}
+
+func (e *Entry) cancelJob(ctx context.Context, c caller, r *http.Request) (any, error) {
+	k, err := keyOf(r, c)
+	if err != nil {
+		return nil, err
+	}
+	found, err := e.findJob(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	jobs := keeper.Jobs{Store: e.store, Region: found.Job.Region}
+	record, err := jobs.Change(ctx, k, func(r *keeper.JobRecord) error {
+		if r.State == keeper.JobEnded {
+			return errAlreadyEnded
+		}
+		r.Cancelled = true
+		return nil
+	})
+	if errors.Is(err, errAlreadyEnded) {
+		return nil, failf(http.StatusConflict, "job %s has ended already", k)
+	}
+	if err != nil {
+		return nil, err
+	}
+	e.announceJob(record)
+	return viewOf(record), nil
+}
+
+// JobExplanation says why a job is in its state.
+type JobExplanation struct {
+	Job JobView
+	// Decision is the scheduler's explanation; it is absent when no scheduler answers or the job has ended.
+	Decision *scheduler.Explanation `json:",omitempty"`
+	// Note says why Decision is absent.
+	Note string `json:",omitempty"`
+	// Audit holds what this entry recorded about the job.
+	Audit any `json:",omitempty"`
+}
+
+// auditLimit bounds the audit records in one answer.
+const auditLimit = 50
+
+func (e *Entry) explainJob(ctx context.Context, c caller, r *http.Request) (any, error) {
+	k, err := keyOf(r, c)
+	if err != nil {
+		return nil, err
+	}
+	record, err := e.findJob(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	x := JobExplanation{Job: viewOf(record), Audit: e.trail.Find("job "+k.String(), auditLimit)}
+	document, err := e.askScheduler(ctx, record.Job.Region, messenger.KindExplain, messenger.ExplainQuery{Key: k})
+	if err != nil {
+		x.Note = err.Error()
+		return x, nil
+	}
+	x.Decision = &scheduler.Explanation{}
+	if err := json.Unmarshal(document, x.Decision); err != nil {
+		return nil, fmt.Errorf("explanation from the scheduler: %w", err)
+	}
+	return x, nil
+}
+
+// askScheduler asks the scheduler of a region, which may be this entry.
+func (e *Entry) askScheduler(ctx context.Context, region descriptor.RegionID, kind messenger.Kind, query any) (json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	address, ok := e.peers.schedulerOf(region)
+	if !ok {
+		return nil, fmt.Errorf("no scheduler of region %s is known at this moment", region)
+	}
+	if address == e.address {
+		return e.duty.document(ctx, query)
+	}
+	var a messenger.Document
+	if err := e.call(ctx, address, kind, query, &a); err != nil {
+		return nil, fmt.Errorf("scheduler of region %s: %w", region, err)
+	}
+	return a.JSON, nil
+}
--- /dev/null
+++ b/internal/coordinator/operators.go
@@ -0,0 +1,356 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/registrar"
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+// acknowledgeTimeout bounds the wait for other entries after a change is stored.
+const acknowledgeTimeout = 2 * time.Second
+
+// States of an operator's change.
+const (
+	// ChangeAccepted means that the change is durable and that every start permit
+	// on an older revision lapses within permitLifetime.
+	ChangeAccepted = "Accepted"
+	// ChangeStored means that the change is durable, but so many entries did not
+	// acknowledge it that permits on the older revision may still be issued.
+	ChangeStored = "Stored"
+)
+
+// ChangeAnswer answers an operator's change.
+type ChangeAnswer struct {
+	State    string
+	Revision descriptor.Revision
+	// Missing lists the entries that did not acknowledge the change.
+	Missing []descriptor.EntryID `json:",omitempty"`
+}
+
+func (e *Entry) getConfiguration(ctx context.Context, _ caller, _ *http.Request) (any, error) {
+	cfg, err := e.configurations.Read(ctx)
+	if err != nil {
+		cfg = e.basis.configuration()
+	}
+	if cfg == nil {
+		return nil, failf(http.StatusNotFound, "no configuration has been accepted yet")
+	}
+	return cfg, nil
+}
+
+// putConfiguration replaces the configuration. The Revision in the body is the
+// one that the operator's file is based on; 0 means the first configuration.
+func (e *Entry) putConfiguration(ctx context.Context, _ caller, r *http.Request) (any, error) {
+	var next descriptor.Configuration
+	if err := decodeBody(r, &next); err != nil {
+		return nil, err
+	}
+	if err := validator.Configuration(&next, nil); err != nil {
+		return nil, err
+	}
+	by := operatorName(r)
+	base := next.Revision
+	stored, err := e.replace(ctx, &next, base, by)
+	if errors.Is(err, keeper.ErrRevisionChanged) {
+		return nil, failf(http.StatusConflict, "%s", e.describeRace(ctx, base, &next))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return e.spread(ctx, stored), nil
+}
+
+// operatorName is who the audit trail names; it is a claim of the operator and grants nothing.
+func operatorName(r *http.Request) string {
+	if name := r.Header.Get("Operator"); name != "" {
+		return name
+	}
+	return "operator"
+}
+
+func (e *Entry) replace(ctx context.Context, next *descriptor.Configuration, base descriptor.Revision, by string) (*descriptor.Configuration, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	writeID := fmt.Sprintf("%s-%d", e.settings.Name, e.writes.Add(1))
+	return e.configurations.Replace(ctx, next, base, by, writeID)
+}
+
+// describeRace says who was faster and what differs.
+func (e *Entry) describeRace(ctx context.Context, base descriptor.Revision, next *descriptor.Configuration) string {
+	current, err := e.configurations.Read(ctx)
+	if err != nil || current == nil {
+		return fmt.Sprintf("the configuration is no longer at revision %d", base)
+	}
+	return fmt.Sprintf("the configuration is at revision %d, accepted from %s at %s, and the change is based on revision %d; these parts differ: %s",
+		current.Revision, current.AcceptedBy, current.AcceptedAt.Format(time.RFC3339), base, strings.Join(differingParts(current, next), ", "))
+}
+
+func differingParts(a, b *descriptor.Configuration) []string {
+	var parts []string
+	differ := func(name string, x, y any) {
+		p, _ := json.Marshal(x)
+		q, _ := json.Marshal(y)
+		if string(p) != string(q) {
+			parts = append(parts, name)
+		}
+	}
+	differ("Workspaces", a.Workspaces, b.Workspaces)
+	differ("Classes", a.Classes, b.Classes)
+	differ("FailureDomains", a.FailureDomains, b.FailureDomains)
+	differ("Fleet", a.Fleet, b.Fleet)
+	if len(parts) == 0 {
+		return []string{"none"}
+	}
+	return parts
+}
+
+// spread sends a stored configuration to all entries and waits until those
+// that have not acknowledged it can no longer permit starts on an older one.
+func (e *Entry) spread(ctx context.Context, cfg *descriptor.Configuration) ChangeAnswer {
+	e.adopt(cfg)
+	ctx, cancel := context.WithTimeout(ctx, acknowledgeTimeout)
+	defer cancel()
+	answer := ChangeAnswer{State: ChangeStored, Revision: cfg.Revision}
+	acknowledged := map[descriptor.EntryID]bool{e.settings.Name: true}
+	for {
+		roster, err := e.readRoster(ctx)
+		if err == nil {
+			for _, a := range e.peers.ask(ctx) {
+				if a.Revision >= cfg.Revision {
+					acknowledged[a.Entry] = true
+				}
+			}
+			answer.Missing = missingFrom(roster, acknowledged)
+			if registrar.Acceptable(roster, acknowledged) {
+				answer.State = ChangeAccepted
+				return answer
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return answer
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// readRoster reads the roster after the change was stored, so that it lists
+// every entry that joined before.
+func (e *Entry) readRoster(ctx context.Context) (*registrar.Roster, error) {
+	data, _, err := e.store.Get(ctx, registrar.Key)
+	if err != nil {
+		return nil, err
+	}
+	var roster registrar.Roster
+	if err := json.Unmarshal(data, &roster); err != nil {
+		return nil, fmt.Errorf("roster: %w", err)
+	}
+	e.peers.learn(&roster)
+	return &roster, nil
+}
+
+func missingFrom(roster *registrar.Roster, acknowledged map[descriptor.EntryID]bool) []descriptor.EntryID {
+	var missing []descriptor.EntryID
+	for _, m := range roster.Members {
+		if !acknowledged[m.Entry] {
+			missing = append(missing, m.Entry)
+		}
+	}
+	return missing
+}
+
+func (e *Entry) listDomains(context.Context, caller, *http.Request) (any, error) {
+	cfg, err := e.requireConfiguration()
+	if err != nil {
+		return nil, err
+	}
+	return struct {
+		Revision       descriptor.Revision
+		FailureDomains []descriptor.FailureDomain
+	}{cfg.Revision, cfg.FailureDomains}, nil
+}
+
+// putDomain takes a failure domain out or back in. It changes nothing else, so
+// it is repeated on the newest configuration when another operator was faster.
+func (e *Entry) putDomain(ctx context.Context, _ caller, r *http.Request) (any, error) {
+	var wanted struct{ Out bool }
+	if err := decodeBody(r, &wanted); err != nil {
+		return nil, err
+	}
+	name := descriptor.FailureDomainID(r.PathValue("name"))
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	for {
+		stored, err := e.setDomain(ctx, name, wanted.Out, operatorName(r))
+		if err == nil {
+			e.audit("failure domain "+string(name), fmt.Sprintf("Out=%v", wanted.Out), "by "+operatorName(r))
+			return e.spread(context.WithoutCancel(ctx), stored), nil
+		}
+		if !errors.Is(err, keeper.ErrRevisionChanged) {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, failf(http.StatusConflict, "other operators change the configuration all the time; nothing was changed")
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+func (e *Entry) setDomain(ctx context.Context, name descriptor.FailureDomainID, out bool, by string) (*descriptor.Configuration, error) {
+	current, err := e.configurations.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if current == nil {
+		return nil, failf(http.StatusNotFound, "no configuration has been accepted yet")
+	}
+	i := slices.IndexFunc(current.FailureDomains, func(d descriptor.FailureDomain) bool { return d.Name == name })
+	if i < 0 {
+		return nil, failf(http.StatusNotFound, "FailureDomain: no failure domain %q", name)
+	}
+	if current.FailureDomains[i].Out == out {
+		return current, nil
+	}
+	next := *current
+	next.FailureDomains = slices.Clone(current.FailureDomains)
+	next.FailureDomains[i].Out = out
+	return e.replace(ctx, &next, current.Revision, by)
+}
+
+// RegionStatus is what the scheduler of a region knows.
+type RegionStatus struct {
+	Region        descriptor.RegionID
+	Scheduler     descriptor.EntryID
+	Epoch         string
+	Guarantees    []scheduler.GuaranteeStatus
+	Fragmentation scheduler.Fragmentation
+	Jobs          int
+	Gangs         int
+}
+
+// AgentStatus is what an entry knows of an agent.
+type AgentStatus struct {
+	Agent         string
+	State         messenger.AgentState
+	FailureDomain descriptor.FailureDomainID
+	Worker        *descriptor.Worker        `json:",omitempty"`
+	Endpoint      *messenger.EndpointReport `json:",omitempty"`
+	Tasks         int
+	Revision      descriptor.Revision
+	Silent        bool
+}
+
+// Status is the answer to a status call.
+type Status struct {
+	Entry        descriptor.EntryID
+	Region       descriptor.RegionID
+	Revision     descriptor.Revision
+	StoreReached bool
+	// PermitLeft is how long starts are still permitted without a new confirmation.
+	PermitLeft descriptor.Duration
+	Entries    []registrar.Member
+	Agents     []AgentStatus
+	Regions    []RegionStatus
+	// Notes lists what could not be found out.
+	Notes []string `json:",omitempty"`
+}
+
+func (e *Entry) getStatus(ctx context.Context, _ caller, _ *http.Request) (any, error) {
+	now := e.now()
+	s := Status{
+		Entry:        e.settings.Name,
+		Region:       e.settings.Region,
+		Revision:     e.basis.revision(),
+		StoreReached: e.basis.storeReached(now),
+		PermitLeft:   descriptor.Duration(e.basis.permit(now).ValidFor),
+		Entries:      e.peers.members(),
+	}
+	for _, a := range e.agents.all() {
+		if a.replaced {
+			continue
+		}
+		s.Agents = append(s.Agents, AgentStatus{
+			Agent:         a.report.Agent,
+			State:         a.report.State,
+			FailureDomain: a.report.FailureDomain,
+			Worker:        a.report.Worker,
+			Endpoint:      a.report.Endpoint,
+			Tasks:         len(a.report.Tasks),
+			Revision:      a.report.Revision,
+			Silent:        a.isSilent(now),
+		})
+	}
+	for _, region := range append([]descriptor.RegionID{e.settings.Region}, e.otherRegions()...) {
+		document, err := e.askScheduler(ctx, region, messenger.KindStatus, messenger.StatusQuery{})
+		if err != nil {
+			s.Notes = append(s.Notes, err.Error())
+			continue
+		}
+		var rs RegionStatus
+		if err := json.Unmarshal(document, &rs); err != nil {
+			return nil, fmt.Errorf("status of region %s: %w", region, err)
+		}
+		s.Regions = append(s.Regions, rs)
+	}
+	return s, nil
+}
+
+func (e *Entry) getAudit(_ context.Context, _ caller, r *http.Request) (any, error) {
+	return struct{ Records any }{e.trail.Find(r.URL.Query().Get("subject"), auditLimit)}, nil
+}
+
+// document answers a query about the scheduler's state as JSON.
+func (d *schedulingDuty) document(ctx context.Context, query any) (json.RawMessage, error) {
+	var body any
+	err := d.do(ctx, func(t *termState) error {
+		now := d.entry.now()
+		switch q := query.(type) {
+		case messenger.ExplainQuery:
+			x, err := t.core.Explain(q.Key, now)
+			body = x
+			return err
+		default:
+			body = d.regionStatus(t, now)
+			return nil
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(body)
+}
+
+func (d *schedulingDuty) regionStatus(t *termState, now time.Time) RegionStatus {
+	return RegionStatus{
+		Region:        d.entry.settings.Region,
+		Scheduler:     d.entry.settings.Name,
+		Epoch:         formatEpoch(t.epoch),
+		Guarantees:    t.core.Guarantees(now),
+		Fragmentation: t.core.Fragmentation(now),
+		Jobs:          len(t.submitted),
+		Gangs:         len(t.gangs),
+	}
+}
+
+func (d *schedulingDuty) explainDocument(ctx context.Context, k descriptor.JobKey) (any, error) {
+	document, err := d.document(ctx, messenger.ExplainQuery{Key: k})
+	return messenger.Document{JSON: document}, err
+}
+
+func (d *schedulingDuty) statusDocument(ctx context.Context) (any, error) {
+	document, err := d.document(ctx, messenger.StatusQuery{})
+	return messenger.Document{JSON: document}, err
+}
--- /dev/null
+++ b/internal/coordinator/reports.go
@@ -0,0 +1,335 @@
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+)
+
+// observeMembers compares what an agent reports with the gangs that have a member there.
+func (d *schedulingDuty) observeMembers(t *termState, a agentState, now time.Time) {
+	for _, r := range a.report.Tasks {
+		g := t.gangs[r.Gang.Key]
+		if g == nil || g.ref.Attempt != r.Gang.Attempt || g.phase != phaseRunning {
+			continue
+		}
+		switch r.State {
+		case messenger.TaskFailed:
+			d.stop(t, g, 0, scheduler.Event{
+				Key:     g.ref.Key,
+				Attempt: g.ref.Attempt,
+				Kind:    scheduler.EventTaskFailed,
+				Worker:  workerOf(a),
+				Cause:   r.Cause,
+			})
+		case messenger.TaskStopped:
+			d.stop(t, g, 0, stoppedEvent(g, fmt.Sprintf("worker %s stopped its tasks: %s", workerOf(a), r.Cause)))
+		case messenger.TaskDone:
+			d.finishIfDone(t, g, now)
+		case messenger.TaskRunning:
+			if !r.Confirmed {
+				d.confirmAgain(t, g, a)
+			}
+		}
+	}
+}
+
+func workerOf(a agentState) descriptor.WorkerID {
+	if a.report.Worker == nil {
+		return ""
+	}
+	return a.report.Worker.ID
+}
+
+func stoppedEvent(g *gang, cause string) scheduler.Event {
+	return scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventStopped, Cause: cause}
+}
+
+// confirmAgain repeats a Confirm that a member did not get.
+func (d *schedulingDuty) confirmAgain(t *termState, g *gang, a agentState) {
+	m := member{agent: a.report.Agent, address: a.report.Address, worker: workerOf(a)}
+	d.background.Go(func() {
+		_ = d.send(t.ctx, m, messenger.KindConfirm, messenger.GangStep{Gang: g.ref}, isOK)
+	})
+}
+
+// finishIfDone ends a job whose members are all done. The job ends as done only
+// when every member says so.
+func (d *schedulingDuty) finishIfDone(t *termState, g *gang, now time.Time) {
+	for _, m := range g.members {
+		if d.memberState(g, m) != messenger.TaskDone {
+			return
+		}
+	}
+	t.core.Observe(scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventFinished}, now)
+	delete(t.gangs, g.ref.Key)
+	d.end(t, g.ref.Key, descriptor.ResultDone, "all tasks finished")
+}
+
+// memberState returns the last reported state of a member, or "" if there is none.
+func (d *schedulingDuty) memberState(g *gang, m member) messenger.TaskState {
+	a, ok := d.entry.agents.get(m.agent)
+	if !ok {
+		return ""
+	}
+	for _, r := range a.report.Tasks {
+		if r.Gang.Key == g.ref.Key && r.Gang.Attempt == g.ref.Attempt {
+			return r.State
+		}
+	}
+	return ""
+}
+
+// sweep finds silent and lost agents. A gang with a member at a lost agent is
+// stopped everywhere and queued again.
+func (d *schedulingDuty) sweep(t *termState, now time.Time) {
+	for _, a := range d.entry.agents.all() {
+		d.syncWorker(t, a, now)
+		if w := a.report.Worker; w != nil && !a.replaced && a.isLost(now) {
+			if _, known := t.known[w.ID]; known {
+				delete(t.known, w.ID)
+				t.core.SetReachable(w.ID, false, now)
+				d.stopGangsAt(t, a)
+				t.core.RemoveWorker(w.ID, now)
+				d.entry.audit("worker "+string(w.ID), "lost", fmt.Sprintf("no report for %v", lostLimit))
+			}
+		}
+		if a.replaced {
+			d.stopGangsAt(t, a)
+		}
+	}
+	for _, name := range d.entry.agents.forget(now) {
+		d.entry.router.Remove(name)
+	}
+	if now.Sub(t.began) > lostLimit {
+		for k := range t.awaited {
+			delete(t.awaited, k)
+			d.end(t, k, descriptor.ResultUnknown, "the job runs at most once, was started, and no agent reports it")
+		}
+	}
+}
+
+func (d *schedulingDuty) stopGangsAt(t *termState, a agentState) {
+	for _, g := range sortedGangs(t) {
+		for _, m := range g.members {
+			if m.agent == a.report.Agent && g.phase != phaseStopping && !d.isAdoptedElsewhere(g, m) {
+				d.stop(t, g, 0, stoppedEvent(g, fmt.Sprintf("the agent of worker %s is gone", m.worker)))
+				break
+			}
+		}
+	}
+}
+
+// isAdoptedElsewhere moves a member to the agent that replaced its own, if that
+// one reports the member's tasks.
+func (d *schedulingDuty) isAdoptedElsewhere(g *gang, m member) bool {
+	a, ok := d.entry.agents.ofWorker(m.worker)
+	if !ok || a.report.Agent == m.agent {
+		return false
+	}
+	for _, r := range a.report.Tasks {
+		if r.Gang.Key != g.ref.Key || r.Gang.Attempt != g.ref.Attempt {
+			continue
+		}
+		for i := range g.members {
+			if g.members[i].agent == m.agent {
+				g.members[i].agent = a.report.Agent
+				g.members[i].address = a.report.Address
+			}
+		}
+		return true
+	}
+	return false
+}
+
+func sortedGangs(t *termState) []*gang {
+	list := make([]*gang, 0, len(t.gangs))
+	for _, g := range t.gangs {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *gang) int { return cmp.Compare(a.ref.Key.String(), b.ref.Key.String()) })
+	return list
+}
+
+// orphan is an attempt that agents report and no gang of this term accounts for.
+type orphan struct {
+	ref     messenger.GangRef
+	members []member
+	states  []messenger.TaskState
+	// expected is the number of agents that take part.
+	expected  int
+	firstSeen time.Time
+}
+
+// collectOrphans gathers the reported attempts that the scheduler does not manage.
+func (d *schedulingDuty) collectOrphans(t *termState, a agentState, now time.Time) {
+	if a.replaced || a.isLost(now) {
+		return
+	}
+	for _, r := range a.report.Tasks {
+		g := t.gangs[r.Gang.Key]
+		if g != nil && g.ref.Attempt >= r.Gang.Attempt {
+			continue
+		}
+		if g == nil && r.State.Ended() && !d.needsResult(t, r) {
+			continue
+		}
+		d.addOrphan(t, a, r, now)
+	}
+}
+
+// needsResult reports whether an ended attempt may be the result of a job that is still open.
+func (d *schedulingDuty) needsResult(t *termState, r messenger.TaskReport) bool {
+	record, ok := d.entry.jobs.get(r.Gang.Key)
+	if !ok || record.State == keeper.JobEnded || !t.submitted[r.Gang.Key] {
+		return false
+	}
+	return r.State == messenger.TaskDone
+}
+
+func (d *schedulingDuty) addOrphan(t *termState, a agentState, r messenger.TaskReport, now time.Time) {
+	o := t.orphans[r.Gang.Key]
+	if o == nil || o.ref.Attempt < r.Gang.Attempt {
+		o = &orphan{ref: r.Gang, expected: r.Members, firstSeen: now}
+		t.orphans[r.Gang.Key] = o
+	}
+	if o.ref.Attempt > r.Gang.Attempt {
+		return
+	}
+	o.ref.Epoch = max(o.ref.Epoch, r.Gang.Epoch)
+	for i, m := range o.members {
+		if m.agent == a.report.Agent {
+			o.states[i] = r.State
+			return
+		}
+	}
+	o.members = append(o.members, member{agent: a.report.Agent, address: a.report.Address, worker: workerOf(a), tasks: r.Tasks})
+	o.states = append(o.states, r.State)
+}
+
+// resolveOrphans adopts the attempts whose members are all there and stops the others.
+func (d *schedulingDuty) resolveOrphans(t *termState, now time.Time) {
+	keys := make([]descriptor.JobKey, 0, len(t.orphans))
+	for k := range t.orphans {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b descriptor.JobKey) int { return cmp.Compare(a.String(), b.String()) })
+	for _, k := range keys {
+		d.resolveOrphan(t, t.orphans[k], now)
+	}
+}
+
+func (d *schedulingDuty) resolveOrphan(t *termState, o *orphan, now time.Time) {
+	k := o.ref.Key
+	record, known := d.entry.jobs.get(k)
+	open := known && record.State != keeper.JobEnded && t.submitted[k] && t.gangs[k] == nil
+	complete := len(o.members) == o.expected && o.isAlive()
+	switch {
+	case open && complete:
+		delete(t.orphans, k)
+		d.adoptGang(t, o, record, now)
+	case open && now.Sub(o.firstSeen) < adoptionTime:
+		// The reports of the other members may still arrive.
+	case !d.entry.jobs.isComplete():
+	default:
+		delete(t.orphans, k)
+		d.stopOrphan(t, o, record, open)
+	}
+}
+
+// isAlive reports whether the attempt can still end well.
+func (o *orphan) isAlive() bool {
+	for _, s := range o.states {
+		if s == messenger.TaskFailed || s == messenger.TaskStopped {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *orphan) allIn(states ...messenger.TaskState) bool {
+	for _, s := range o.states {
+		if !slices.Contains(states, s) {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *orphan) gang(t *termState, job descriptor.Job) *gang {
+	ref := o.ref
+	ref.Epoch = t.epoch
+	return &gang{ref: ref, job: job, members: o.members}
+}
+
+// adoptGang takes over a complete attempt. One that already runs goes on; one
+// between hold and start is completed.
+func (d *schedulingDuty) adoptGang(t *termState, o *orphan, r keeper.JobRecord, now time.Time) {
+	g := o.gang(t, r.Job)
+	running := o.allIn(messenger.TaskRunning, messenger.TaskDone)
+	attempt := scheduler.Attempt{Job: r.Job, Accepted: r.Accepted, Number: o.ref.Attempt, Running: running, StartedAt: now}
+	for _, m := range o.members {
+		attempt.Placement = append(attempt.Placement, scheduler.Assignment{Worker: m.worker, Tasks: m.tasks})
+	}
+	d.manage(t, g)
+	delete(t.awaited, g.ref.Key)
+	t.core.Adopt(attempt, now)
+	d.entry.audit("job "+g.ref.Key.String(), "adopted", fmt.Sprintf("attempt %d from an earlier scheduler", g.ref.Attempt))
+	if running {
+		g.phase = phaseRunning
+		g.started = now
+		d.finishIfDone(t, g, now)
+		return
+	}
+	g.phase = phaseStarting
+	d.startInBackground(t, g, d.startHeldGang)
+}
+
+// stopOrphan stops what there is of an attempt that cannot be adopted.
+func (d *schedulingDuty) stopOrphan(t *termState, o *orphan, r keeper.JobRecord, open bool) {
+	g := o.gang(t, r.Job)
+	cause := "the gang is not complete after a change of scheduler"
+	if !open {
+		cause = "the job has ended or another attempt runs"
+	}
+	d.entry.audit("job "+g.ref.Key.String(), "stopped", cause)
+	if !open {
+		d.background.Go(func() { d.stopGang(t.ctx, g, 0, cause) })
+		return
+	}
+	d.manage(t, g)
+	g.phase = phaseRunning
+	d.stop(t, g, 0, stoppedEvent(g, cause))
+}
+
+// acknowledge returns the ended attempts that an agent may forget: those of
+// jobs whose end is durable, and those that the scheduler no longer needs.
+func (d *schedulingDuty) acknowledge(tasks []messenger.TaskReport) []messenger.GangRef {
+	var list []messenger.GangRef
+	now := d.entry.now()
+	for _, r := range tasks {
+		if r.State.Ended() && d.isSettled(r, now) {
+			list = append(list, r.Gang)
+		}
+	}
+	return list
+}
+
+func (d *schedulingDuty) isSettled(r messenger.TaskReport, now time.Time) bool {
+	if record, ok := d.entry.jobs.get(r.Gang.Key); ok && record.State == keeper.JobEnded {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.active || d.attempts == nil || now.Before(d.settledAt) {
+		return false
+	}
+	attempt, managed := d.attempts[r.Gang.Key]
+	return !managed || attempt > r.Gang.Attempt
+}
--- /dev/null
+++ b/internal/coordinator/requests.go
@@ -0,0 +1,315 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"persimmontrail/internal/dispatcher"
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+const (
+	// claimTimeout bounds the write of a claim; after it the request is refused as not run.
+	claimTimeout = 2 * time.Second
+	// outcomeTimeout bounds one question for an outcome when the caller does not wait for it.
+	outcomeTimeout = time.Second
+	// linkLatency is the one-way time between regions.
+	linkLatency = 12 * time.Millisecond
+	// linkBytesPerSecond is a quarter of the 30 Mbit/s between regions, the part that requests may plan with.
+	linkBytesPerSecond = 30e6 / 8 / 4
+)
+
+// attemptError says why one attempt of a request brought no answer.
+type attemptError struct {
+	reason string
+	// notRun tells that the attempt certainly did not run and will not.
+	notRun bool
+}
+
+// serve runs a request to one of the three answers.
+func (e *Entry) serve(ctx context.Context, request descriptor.Request, class descriptor.Class, forwarded bool) messenger.ServeAnswer {
+	began := e.now()
+	deadline := began.Add(class.FinishWithin.Std())
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	e.serving.Add(1)
+	defer e.serving.Done()
+
+	var a messenger.ServeAnswer
+	if class.NonIdempotent {
+		a = e.serveOnce(ctx, request, class, deadline)
+	} else {
+		a = e.serveWithRetries(ctx, request, class, deadline, forwarded)
+	}
+	a.Request = request.ID
+	e.metrics.Completion("request", request.Workspace, request.Class, a.Result, e.now().Sub(began))
+	if a.Result != descriptor.ResultDone {
+		e.audit("request "+string(request.Workspace)+"/"+string(request.ID), string(a.Result), a.Reason)
+	}
+	return a
+}
+
+func ticketOf(request descriptor.Request, deadline time.Time, tried []string) dispatcher.Ticket {
+	return dispatcher.Ticket{
+		Class:     request.Class,
+		Workspace: request.Workspace,
+		Deadline:  deadline,
+		Tried:     tried,
+		Bytes:     int64(len(request.Body)),
+	}
+}
+
+// serveWithRetries serves an idempotent request. An attempt that brought no
+// answer is repeated at another endpoint within the deadline and the retry budget.
+func (e *Entry) serveWithRetries(ctx context.Context, request descriptor.Request, class descriptor.Class, deadline time.Time, forwarded bool) messenger.ServeAnswer {
+	var tried []string
+	mayHaveRun := false
+	for {
+		ticket := ticketOf(request, deadline, tried)
+		if a, ok := e.forward(ctx, request, ticket, deadline, forwarded); ok {
+			return a
+		}
+		choice, err := e.router.Acquire(ctx, ticket)
+		if err != nil {
+			return noAnswer(mayHaveRun, err.Error())
+		}
+		a, failure := e.attempt(ctx, choice, request, class, deadline)
+		if failure == nil {
+			return a
+		}
+		mayHaveRun = mayHaveRun || !failure.notRun
+		tried = append(tried, choice.Agent)
+		if ctx.Err() != nil {
+			return noAnswer(mayHaveRun, "deadline reached: "+failure.reason)
+		}
+		if !e.router.Retry(e.now()) {
+			return noAnswer(mayHaveRun, "retry budget spent: "+failure.reason)
+		}
+		e.metrics.Count("request_retries_total", "class", string(class.Name))
+	}
+}
+
+func noAnswer(mayHaveRun bool, reason string) messenger.ServeAnswer {
+	if mayHaveRun {
+		return messenger.ServeAnswer{Result: descriptor.ResultUnknown, Reason: reason}
+	}
+	return messenger.ServeAnswer{Result: descriptor.ResultNotRun, Reason: reason}
+}
+
+// attempt sends a request to one endpoint. When the connection is lost it asks
+// the same agent again by the request's id.
+func (e *Entry) attempt(ctx context.Context, choice dispatcher.Choice, request descriptor.Request, class descriptor.Class, deadline time.Time) (messenger.ServeAnswer, *attemptError) {
+	began := e.now()
+	serve := messenger.Serve{Agent: choice.Agent, Request: request, NonIdempotent: class.NonIdempotent, Deadline: deadline.Sub(began)}
+	var a messenger.ServeAnswer
+	err := e.call(ctx, choice.Address, messenger.KindServe, serve, &a)
+	if err != nil && !errors.Is(err, messenger.ErrNotSent) && ctx.Err() == nil {
+		e.metrics.Count("request_outcome_queries_total", "class", string(class.Name))
+		a, err = e.askOutcome(ctx, choice.Agent, choice.Address, request.Workspace, request.ID, deadline.Sub(e.now()))
+	}
+	switch {
+	case errors.Is(err, messenger.ErrNotSent):
+		e.router.Done(choice, descriptor.ResultFailed, 0)
+		return a, &attemptError{reason: err.Error(), notRun: true}
+	case err != nil:
+		e.router.Done(choice, descriptor.ResultUnknown, e.now().Sub(began))
+		return a, &attemptError{reason: err.Error()}
+	case a.Request != request.ID && a.Request != "":
+		// The agent answered for another request; the answer must not reach this caller.
+		e.router.Done(choice, descriptor.ResultFailed, e.now().Sub(began))
+		return messenger.ServeAnswer{}, &attemptError{reason: "the answer belongs to request " + string(a.Request)}
+	case a.Result == descriptor.ResultDone:
+		e.router.Done(choice, a.Result, e.now().Sub(began))
+		return a, nil
+	case a.Result == descriptor.ResultNotRun:
+		// The endpoint was busy or is leaving, which is no fault of its own.
+		e.router.Done(choice, "", 0)
+		return a, &attemptError{reason: a.Reason, notRun: true}
+	default:
+		e.router.Done(choice, a.Result, e.now().Sub(began))
+		return a, &attemptError{reason: a.Reason}
+	}
+}
+
+// askOutcome asks an agent what became of a request. A second question is
+// asked on a new connection if the first connection went silent.
+func (e *Entry) askOutcome(ctx context.Context, agent, address string, w descriptor.WorkspaceID, id descriptor.RequestID, wait time.Duration) (messenger.ServeAnswer, error) {
+	var a messenger.ServeAnswer
+	var err error
+	for range 2 {
+		query := messenger.OutcomeQuery{Agent: agent, Workspace: w, Request: id, Wait: wait}
+		if err = e.call(ctx, address, messenger.KindOutcome, query, &a); err == nil {
+			return a, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return a, err
+}
+
+// serveOnce serves a request that runs at most once: the claim names the one
+// agent that may run it and is durable before the request is sent.
+func (e *Entry) serveOnce(ctx context.Context, request descriptor.Request, class descriptor.Class, deadline time.Time) messenger.ServeAnswer {
+	choice, err := e.router.Acquire(ctx, ticketOf(request, deadline, nil))
+	if err != nil {
+		if a, known := e.settledClaim(ctx, request.Workspace, request.ID); known {
+			return a
+		}
+		return noAnswer(false, err.Error())
+	}
+	claim := keeper.ClaimRecord{
+		Workspace: request.Workspace,
+		Request:   request.ID,
+		Entry:     e.settings.Name,
+		Agent:     choice.Agent,
+		Address:   choice.Address,
+		ClaimedAt: e.now(),
+	}
+	existing, mine, err := e.claim(ctx, claim)
+	if err != nil {
+		e.router.Done(choice, "", 0)
+		return noAnswer(false, "the request could not be recorded, so it was not started: "+err.Error())
+	}
+	if !mine {
+		e.router.Done(choice, "", 0)
+		return e.resolveClaim(ctx, existing, deadline.Sub(e.now()))
+	}
+	a, failure := e.attempt(ctx, choice, request, class, deadline)
+	switch {
+	case failure == nil:
+	case failure.notRun:
+		a = messenger.ServeAnswer{Result: descriptor.ResultNotRun, Reason: failure.reason}
+	case a.Result != descriptor.ResultFailed:
+		a = messenger.ServeAnswer{Result: descriptor.ResultUnknown, Reason: failure.reason}
+	}
+	e.finishClaim(request, a)
+	return a
+}
+
+func (e *Entry) claim(ctx context.Context, c keeper.ClaimRecord) (keeper.ClaimRecord, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return e.claims.Claim(ctx, c)
+}
+
+// settledClaim looks up an earlier claim when no endpoint is free for a new one.
+func (e *Entry) settledClaim(ctx context.Context, w descriptor.WorkspaceID, id descriptor.RequestID) (messenger.ServeAnswer, bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	c, err := e.claims.Lookup(ctx, w, id)
+	if err != nil || c.Result == descriptor.ResultNotRun {
+		return messenger.ServeAnswer{}, false
+	}
+	return e.resolveClaim(ctx, c, 0), true
+}
+
+// resolveClaim answers a repeated request from the agent that the claim names.
+func (e *Entry) resolveClaim(ctx context.Context, c keeper.ClaimRecord, wait time.Duration) messenger.ServeAnswer {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(wait, 0)+outcomeTimeout)
+	defer cancel()
+	a, err := e.askOutcome(ctx, c.Agent, c.Address, c.Workspace, c.Request, max(wait, 0))
+	a.Request = c.Request
+	switch {
+	case err != nil && c.Result != "":
+		return messenger.ServeAnswer{Request: c.Request, Result: c.Result, Reason: c.Reason}
+	case err != nil:
+		return messenger.ServeAnswer{Request: c.Request, Result: descriptor.ResultUnknown, Reason: "the request was claimed and its agent does not answer: " + err.Error()}
+	case a.Running:
+		a.Result = descriptor.ResultUnknown
+		a.Reason = "the request is running"
+		return a
+	}
+	e.finishClaim(descriptor.Request{ID: c.Request, Workspace: c.Workspace}, a)
+	return a
+}
+
+// finishClaim records the outcome. It is not needed for safety, so the caller does not wait for it.
+func (e *Entry) finishClaim(request descriptor.Request, a messenger.ServeAnswer) {
+	if a.Result == descriptor.ResultUnknown {
+		return
+	}
+	e.serving.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		defer cancel()
+		if err := e.claims.Finish(ctx, request.Workspace, request.ID, a.Result, a.Reason); err != nil {
+			e.metrics.Count("store_errors_total", "call", "claim outcome")
+		}
+	})
+}
+
+// lookUpRequest answers a caller who asks later with the id of a request.
+func (e *Entry) lookUpRequest(ctx context.Context, w descriptor.WorkspaceID, id descriptor.RequestID) (messenger.ServeAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	c, err := e.claims.Lookup(ctx, w, id)
+	if err != nil {
+		return messenger.ServeAnswer{}, err
+	}
+	return e.resolveClaim(ctx, c, 0), nil
+}
+
+// forward passes a request to another region when no endpoint here can serve
+// it in time and one there can.
+func (e *Entry) forward(ctx context.Context, request descriptor.Request, ticket dispatcher.Ticket, deadline time.Time, forwarded bool) (messenger.ServeAnswer, bool) {
+	if forwarded {
+		return messenger.ServeAnswer{}, false
+	}
+	now := e.now()
+	for _, region := range e.otherRegions() {
+		live := e.peers.live(region, now)
+		if len(live) == 0 || !e.router.WorthForwarding(ticket, region, now) {
+			continue
+		}
+		var a messenger.ServeAnswer
+		err := e.call(ctx, live[0].Address, messenger.KindForward, messenger.Forward{Request: request, Deadline: deadline.Sub(now)}, &a)
+		if err == nil && a.Result == descriptor.ResultDone {
+			e.metrics.Count("requests_forwarded_total", "region", string(region))
+			return a, true
+		}
+	}
+	return messenger.ServeAnswer{}, false
+}
+
+func (e *Entry) handleForward(ctx context.Context, f messenger.Forward) messenger.ServeAnswer {
+	cfg := e.basis.configuration()
+	if cfg == nil {
+		return noAnswer(false, "this entry has no configuration yet")
+	}
+	class := validator.FindClass(cfg, f.Request.Class)
+	if class == nil {
+		return noAnswer(false, "no class "+string(f.Request.Class))
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Deadline)
+	defer cancel()
+	return e.serve(ctx, f.Request, *class, true)
+}
+
+// otherRegions returns the regions of the configuration except this entry's.
+func (e *Entry) otherRegions() []descriptor.RegionID {
+	cfg := e.basis.configuration()
+	if cfg == nil {
+		return nil
+	}
+	var regions []descriptor.RegionID
+	seen := map[descriptor.RegionID]bool{e.settings.Region: true}
+	for _, d := range cfg.FailureDomains {
+		if !seen[d.Region] {
+			seen[d.Region] = true
+			regions = append(regions, d.Region)
+		}
+	}
+	return regions
+}
+
+// linkCost estimates what a link between regions adds to a request.
+func linkCost(_ descriptor.RegionID, bytes int64) time.Duration {
+	return 2*linkLatency + time.Duration(float64(bytes)/linkBytesPerSecond*float64(time.Second))
+}
--- /dev/null
+++ b/internal/coordinator/settings.go
@@ -0,0 +1,90 @@
+// Package coordinator is the entry process. It serves callers and operators
+// over HTTP, routes requests to endpoints, accepts jobs, issues start permits
+// to agents, and schedules the jobs of its region while it holds the region's term.
+package coordinator
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+// Settings of an entry.
+type Settings struct {
+	// Name is unique for each run of an entry process; a restarted entry needs a new one.
+	Name          descriptor.EntryID
+	Region        descriptor.RegionID
+	FailureDomain descriptor.FailureDomainID
+	// Listen is the IP address and port for agents and other entries, over UDP and TCP.
+	Listen string
+	// HTTPListen is the address for callers and operators.
+	HTTPListen string
+	// StoreURL is the address of the platform's store.
+	StoreURL string
+	// OperatorToken authorizes operators; empty allows everyone, for trials on one machine.
+	OperatorToken string
+	// ServerTLS and ClientTLS are for the traffic with agents and other entries.
+	ServerTLS, ClientTLS *tls.Config
+	// HTTPTLS is for callers and operators; nil serves plain HTTP.
+	HTTPTLS *tls.Config
+	Log     *log.Logger
+	// Store replaces the client of StoreURL, for tests.
+	Store *keeper.Store
+	// Call replaces the client for agents and entries, for tests.
+	Call CallFunc
+	// Ready, if set, is called with the addresses once the entry listens.
+	Ready func(httpAddress, address string)
+	// Now replaces time.Now, for tests.
+	Now func() time.Time
+}
+
+// CallFunc sends a message to another process and waits for the answer.
+type CallFunc func(ctx context.Context, address string, kind messenger.Kind, request, answer any) error
+
+// Validate returns all faults of the settings together.
+func (s *Settings) Validate() error {
+	var faults validator.Errors
+	fail := func(field, reason string) {
+		faults = append(faults, validator.FieldError{Field: field, Reason: reason})
+	}
+	if s.Region == "" {
+		fail("region", "must not be empty")
+	}
+	if s.FailureDomain == "" {
+		fail("failure-domain", "must not be empty")
+	}
+	if err := checkAddress(s.Listen); err != nil {
+		fail("listen", err.Error())
+	}
+	if err := checkAddress(s.HTTPListen); err != nil {
+		fail("http-listen", err.Error())
+	}
+	if u, err := url.Parse(s.StoreURL); s.Store == nil && (err != nil || u.Host == "") {
+		fail("store", "must be a URL such as http://127.0.0.1:7000")
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	return faults
+}
+
+func checkAddress(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.New("must be an IP address and port such as 127.0.0.1:7400")
+	}
+	if net.ParseIP(host) == nil {
+		return errors.New("host must be an IP address")
+	}
+	return nil
+}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -172,10 +172,15 @@
 	Refusal string
 	// Epoch is the highest that the agent has seen.
 	Epoch descriptor.Epoch
+	// NeverStarted is set in the answer to Stop when the agent has not started
+	// any task of the attempt and will not.
+	NeverStarted bool
 }
 
 // Serve asks an agent to run one request at its endpoint.
 type Serve struct {
+	// Agent is the run of the agent that is meant. Another run at the same address answers NotRun.
+	Agent   string
 	Request descriptor.Request
 	// NonIdempotent requests are started at most once by one agent.
 	NonIdempotent bool
@@ -185,6 +190,8 @@
 
 // OutcomeQuery asks an agent what became of a request. The agent promises never to start a request that it calls NotRun.
 type OutcomeQuery struct {
+	// Agent is the run of the agent that is meant. Another run at the same address cannot know and answers Unknown.
+	Agent     string
 	Workspace descriptor.WorkspaceID
 	Request   descriptor.RequestID
 	// Wait is how long to wait for a request that is running.
@@ -231,6 +238,11 @@
 	Job       descriptor.Job
 	Accepted  time.Time
 	Cancelled bool
+	// Ended, Result, Reason and EndedAt are set when the job has ended.
+	Ended   bool
+	Result  descriptor.Result
+	Reason  string
+	EndedAt time.Time
 }
 
 // Forward passes a request to an entry of another region.
