enforcer and supervisor: first working version

OutcomeQuery gets Agent and Age, because an agent that was restarted or has forgotten old outcomes cannot truthfully say NotRun. Report gets Full: other reports leave out what is unchanged, to keep within 7 KB/s.

--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -94,21 +94,24 @@
 	// Agent is unique for each run of an agent process.
 	Agent string
 	// Address is where the agent listens.
-	Address string
+	Address string `cbor:",omitempty"`
 	// Sequence grows with each report of one Agent; older reports are dropped.
 	Sequence uint64
 	State    AgentState
-	Worker   *descriptor.Worker
-	Endpoint *EndpointReport
+	Worker   *descriptor.Worker `cbor:",omitempty"`
+	Endpoint *EndpointReport    `cbor:",omitempty"`
 	// Tasks are all tasks that are not ended, and ended ones until an entry has acknowledged them.
-	Tasks []TaskReport
+	Tasks []TaskReport `cbor:",omitempty"`
 	// Usage is the measured use of the worker and lags behind.
 	Usage descriptor.Resources
 	// Revision of the configuration that the agent holds.
 	Revision descriptor.Revision
 	// FailureDomain and Region come from the agent's settings.
-	FailureDomain descriptor.FailureDomainID
-	Region        descriptor.RegionID
+	FailureDomain descriptor.FailureDomainID `cbor:",omitempty"`
+	Region        descriptor.RegionID        `cbor:",omitempty"`
+	// Full reports name all tasks. Others leave out Worker, Endpoint, FailureDomain, Region, Address and tasks that are
+	// unchanged since the last answered report, to stay within the byte budget of an agent.
+	Full bool `cbor:",omitempty"`
 }
 
 // Permit allows an agent to start work until it expires.
@@ -187,6 +190,10 @@
 	Request   descriptor.RequestID
 	// Wait is how long to wait for a request that is running.
 	Wait time.Duration
+	// Agent is the Report.Agent to which the request was sent. Another run of the agent answers Unknown, as it cannot know.
+	Agent string
+	// Age is how long ago the request was sent. The agent answers Unknown about ids older than its memory.
+	Age time.Duration
 }
 
 // ServeAnswer answers Serve, Outcome and Forward.
--- /dev/null
+++ b/internal/supervisor/endpoint.go
@@ -0,0 +1,44 @@
+package supervisor
+
+import (
+	"context"
+	"net"
+	"net/url"
+	"time"
+
+	"persimmontrail/internal/enforcer"
+)
+
+// probeWithin bounds the connection that shows that an endpoint is up.
+const probeWithin = 500 * time.Millisecond
+
+func (a *agent) serveEndpoint(ctx context.Context, call enforcer.ServeCall) ([]byte, error) {
+	began := time.Now()
+	body, err := a.endpoint.serve(ctx, call)
+	a.countRequest(call.Request, err, time.Since(began))
+	return body, err
+}
+
+// probeEndpoint announces the endpoint named in the settings while it accepts connections.
+func (a *agent) probeEndpoint(ctx context.Context) {
+	s := a.settings
+	u, err := url.Parse(s.EndpointURL)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeWithin)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return
+	}
+	c.Close()
+	a.enforcer.Announce(enforcer.EndpointAnnouncement{
+		ID:          s.EndpointID,
+		Service:     s.Service,
+		URL:         s.EndpointURL,
+		Slots:       s.Slots,
+		Connections: s.Connections,
+	})
+}
--- /dev/null
+++ b/internal/supervisor/http.go
@@ -0,0 +1,127 @@
+package supervisor
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"persimmontrail/internal/enforcer"
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	maxAnnouncement = 16 << 10
+	// maxHistograms bounds the memory of the metrics; further workspaces and classes are counted together.
+	maxHistograms = 256
+)
+
+func (a *agent) mux() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("PUT /v1/endpoint", a.announce)
+	m.HandleFunc("GET /v1/state", a.state)
+	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	m.HandleFunc("GET /readyz", a.ready)
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.metrics.WritePrometheus(w) })
+	return m
+}
+
+func (a *agent) announce(w http.ResponseWriter, r *http.Request) {
+	var e enforcer.EndpointAnnouncement
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&e)
+	switch {
+	case err != nil:
+	case e.ID == "" || e.Service == "":
+		err = errors.New("the fields ID and Service must not be empty")
+	case !isHTTP(e.URL):
+		err = errors.New("the field URL must be an http URL")
+	case e.Slots < 1 || e.Connections < 1:
+		err = errors.New("the fields Slots and Connections must be at least 1")
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.enforcer.Announce(e)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *agent) state(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(struct {
+		Agent    string
+		Entries  []string
+		Snapshot enforcer.Snapshot
+	}{a.id, a.reports.entries(), a.enforcer.Snapshot(0)})
+}
+
+// ready fails while no work could start here.
+func (a *agent) ready(w http.ResponseWriter, _ *http.Request) {
+	s := a.enforcer.Snapshot(^uint64(0))
+	switch {
+	case s.Leaving:
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !s.PermitValid:
+		http.Error(w, "no valid permit", http.StatusServiceUnavailable)
+	case a.settings.WorkerURL != "" && s.Worker == nil:
+		http.Error(w, "worker is not known yet", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ok")
+	}
+}
+
+func (a *agent) registerMetrics() {
+	a.metrics.NewGauge("persimmontrail_agent_active_gangs", func() float64 { return float64(a.enforcer.Active()) })
+	a.metrics.NewGauge("persimmontrail_agent_pending_requests", func() float64 { return float64(a.enforcer.Pending()) })
+}
+
+func (a *agent) countReport(err error) { a.count("persimmontrail_agent_reports_total", err) }
+
+func (a *agent) countStart(err error) { a.count("persimmontrail_agent_task_starts_total", err) }
+
+func (a *agent) count(name string, err error) {
+	result := "ok"
+	switch {
+	case errors.Is(err, enforcer.ErrNotRun):
+		result = "not_run"
+	case errors.Is(err, enforcer.ErrFailed):
+		result = "failed"
+	case err != nil:
+		result = "unknown"
+	}
+	a.metrics.GetOrCreateCounter(fmt.Sprintf("%s{result=%q}", name, result)).Inc()
+}
+
+func (a *agent) countRequest(r descriptor.Request, err error, took time.Duration) {
+	a.count("persimmontrail_agent_requests_total", err)
+	name := fmt.Sprintf("persimmontrail_agent_request_seconds{workspace=%q,class=%q}", r.Workspace, r.Class)
+	if !a.histograms.admit(name) {
+		name = `persimmontrail_agent_request_seconds{workspace="other",class="other"}`
+	}
+	a.metrics.GetOrCreateHistogram(name).Update(took.Seconds())
+}
+
+// nameSet is a bounded set of metric names.
+type nameSet struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+func (s *nameSet) admit(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.names[name] {
+		return true
+	}
+	if len(s.names) >= maxHistograms {
+		return false
+	}
+	if s.names == nil {
+		s.names = make(map[string]bool)
+	}
+	s.names[name] = true
+	return true
+}
