--- /dev/null
+++ b/internal/messenger/identity.go
@@ -0,0 +1,66 @@
+package messenger
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+)
+
+// Role is what a process is in the system. Certificates carry it as the organizational unit of the subject.
+type Role string
+
+// Roles of processes.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Identity names a peer by its certificate.
+type Identity struct {
+	Role Role
+	Name string
+}
+
+// CertificateIdentity returns the identity in a certificate. It does not verify the certificate.
+func CertificateIdentity(c *x509.Certificate) (Identity, error) {
+	if len(c.Subject.OrganizationalUnit) != 1 {
+		return Identity{}, fmt.Errorf("certificate of %q has %d organizational units, want one that names the role", c.Subject.CommonName, len(c.Subject.OrganizationalUnit))
+	}
+	return Identity{Role: Role(c.Subject.OrganizationalUnit[0]), Name: c.Subject.CommonName}, nil
+}
+
+// peerIdentity returns the identity of a peer that the TLS configuration has accepted.
+func peerIdentity(s tls.ConnectionState) (Identity, error) {
+	if len(s.PeerCertificates) == 0 {
+		return Identity{}, errors.New("peer has no certificate")
+	}
+	id, err := CertificateIdentity(s.PeerCertificates[0])
+	if err != nil {
+		return Identity{}, err
+	}
+	if id.Role != RoleEntry && id.Role != RoleAgent {
+		return Identity{}, fmt.Errorf("peer %q has role %q, want %q or %q", id.Name, id.Role, RoleEntry, RoleAgent)
+	}
+	return id, nil
+}
+
+// protocolTLS returns a copy of c for TLS 1.3 and this protocol, also for configurations that c chooses in the handshake.
+func protocolTLS(c *tls.Config) *tls.Config {
+	c = c.Clone()
+	c.MinVersion = tls.VersionTLS13
+	c.NextProtos = []string{protocolName}
+	if c.ClientAuth < tls.RequireAnyClientCert {
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	if choose := c.GetConfigForClient; choose != nil {
+		c.GetConfigForClient = func(h *tls.ClientHelloInfo) (*tls.Config, error) {
+			chosen, err := choose(h)
+			if err != nil || chosen == nil {
+				return nil, err
+			}
+			return protocolTLS(chosen), nil
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/messenger/server_tcp.go
@@ -0,0 +1,11 @@
+package messenger
+
+func (s *Server) acceptTCP() {
+	for {
+		c, err := s.tcp.Accept()
+		if err != nil {
+			return
+		}
+		c.Close()
+	}
+}
