dispatcher: tests; a full queue keeps one place for a workspace with a small share

The first version measured use of the queue against the exact share, so that a single request of a workspace with a share below one place was refused before the requests of the workspace that had filled the queue.

--- a/internal/dispatcher/endpoint.go
+++ b/internal/dispatcher/endpoint.go
@@ -254,5 +254,5 @@
 	if ahead < 0 {
 		return 0, true
 	}
-	return time.Duration(float64(ahead+1) / float64(slots) * float64(s.meanTime(now))), true
+	return time.Duration(float64(ahead+1) / float64(slots) * float64(s.meanTime())), true
 }
--- a/internal/dispatcher/estimate.go
+++ b/internal/dispatcher/estimate.go
@@ -77,10 +77,10 @@
 	if e := s.times[class]; e != nil {
 		return max(e.mean, 0.001)
 	}
-	return s.meanTime(now).Seconds()
+	return s.meanTime().Seconds()
 }
 
-func (s *service) meanTime(time.Time) time.Duration {
+func (s *service) meanTime() time.Duration {
 	if len(s.times) == 0 {
 		return assumedTime
 	}
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"math"
 	"time"
 
 	"persimmontrail/pkg/descriptor"
@@ -211,21 +212,35 @@
 	return a.ticket.Workspace < b.ticket.Workspace
 }
 
-// victim is the least urgent request of the workspace with the most waiting requests for its weight.
-func (q *queue) victim() *waiter {
+// victim is the least urgent request of the workspace that uses the most of its part of the queue. Among equals it is the one with more waiting requests.
+func (q *queue) victim(limit int) *waiter {
 	var most *lane
-	ratio := func(l *lane) float64 { return float64(l.Len()) / q.weight(l.workspace) }
 	for _, l := range q.lanes {
-		if l.Len() == 0 {
-			continue
-		}
-		if most == nil || ratio(l) > ratio(most) || ratio(l) == ratio(most) && l.workspace < most.workspace {
+		if l.Len() > 0 && (most == nil || q.overuse(l, limit, most)) {
 			most = l
 		}
 	}
 	return most.leastUrgent()
 }
 
+// overuse reports whether a uses more of its part than b.
+func (q *queue) overuse(a *lane, limit int, b *lane) bool {
+	ratioA := float64(a.Len()) / q.part(a, limit)
+	ratioB := float64(b.Len()) / q.part(b, limit)
+	switch {
+	case ratioA != ratioB:
+		return ratioA > ratioB
+	case a.Len() != b.Len():
+		return a.Len() > b.Len()
+	}
+	return a.workspace < b.workspace
+}
+
+// part is a workspace's part of the queue in whole requests. It is at least 1, so that a workspace with a small share can wait at all.
+func (q *queue) part(l *lane, limit int) float64 {
+	return math.Ceil(q.weight(l.workspace) * float64(limit))
+}
+
 // Acquire waits in the queue until an endpoint is selected. Every error means that the request did not run. It uses no goroutine of its own.
 func (r *Router) Acquire(ctx context.Context, t Ticket) (Choice, error) {
 	if err := ctx.Err(); err != nil {
@@ -268,7 +283,7 @@
 	if s.queue.size <= r.queueLimit() {
 		return w, s, nil
 	}
-	v := s.queue.victim()
+	v := s.queue.victim(r.queueLimit())
 	if v == w {
 		err := r.refuse(ErrQueueFull, s, t, now)
 		s.queue.remove(w)
--- /dev/null
+++ b/internal/dispatcher/router_test.go
@@ -0,0 +1,414 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+func testConfiguration() *descriptor.Configuration {
+	return &descriptor.Configuration{
+		Workspaces: []descriptor.Workspace{
+			{Name: "large", Guarantees: []descriptor.Shape{{Accelerators: 8, Count: 3}}},
+			{Name: "small"},
+		},
+		Classes: []descriptor.Class{
+			{Name: "Preview", FinishWithin: descriptor.Duration(2 * time.Second), Service: "fit"},
+			{Name: "Report", FinishWithin: descriptor.Duration(time.Minute), Service: "fit"},
+			{Name: "Nesting", FinishWithin: descriptor.Duration(time.Minute), Service: "fit", NonIdempotent: true},
+		},
+		FailureDomains: []descriptor.FailureDomain{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+	}
+}
+
+func testEndpoint(agent string, domain descriptor.FailureDomainID, slots int) EndpointState {
+	return EndpointState{
+		Agent: agent, Address: agent, Endpoint: descriptor.EndpointID(agent), Service: "fit",
+		FailureDomain: domain, Region: "r", Slots: slots, Healthy: true,
+	}
+}
+
+// newRouter returns a router whose clock is *now.
+func newRouter(now *time.Time) *Router {
+	r := &Router{FailureDomain: "a", Region: "r", Seed: 1, Now: func() time.Time { return *now }}
+	r.Configure(testConfiguration(), *now)
+	return r
+}
+
+func pick(r *Router, now time.Time, tried ...string) (Choice, error) {
+	return r.Pick("Report", "large", now.Add(time.Minute), tried, now)
+}
+
+// Guards against new work for an endpoint that is silent, leaving, unhealthy or in a failure domain that is out.
+func TestEndpointOutOfServiceGetsNothing(t *testing.T) {
+	cases := map[string]func(r *Router, st EndpointState, now *time.Time){
+		"silent":    func(_ *Router, _ EndpointState, now *time.Time) { *now = now.Add(SilenceLimit + 1) },
+		"leaving":   func(r *Router, st EndpointState, now *time.Time) { st.Leaving = true; r.Update(st, *now) },
+		"unhealthy": func(r *Router, st EndpointState, now *time.Time) { st.Healthy = false; r.Update(st, *now) },
+		"removed":   func(r *Router, st EndpointState, _ *time.Time) { r.Remove(st.Agent) },
+		"other region": func(r *Router, st EndpointState, now *time.Time) {
+			st.Region = "far"
+			r.Update(st, *now)
+		},
+		"out": func(r *Router, _ EndpointState, now *time.Time) {
+			cfg := testConfiguration()
+			cfg.FailureDomains[0].Out = true
+			r.Configure(cfg, *now)
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			r := newRouter(&now)
+			st := testEndpoint("one", "a", 8)
+			r.Update(st, now)
+			_, err := pick(r, now)
+			assert.NilError(t, err)
+			change(r, st, &now)
+			_, err = pick(r, now)
+			assert.ErrorIs(t, err, ErrNoEndpoint)
+			var refusal *Refusal
+			assert.Assert(t, errors.As(err, &refusal))
+			assert.Equal(t, refusal.Facts.Usable, 0)
+		})
+	}
+}
+
+// Guards against an old report that arrives late and revives a leaving endpoint.
+func TestOlderReportIsDropped(t *testing.T) {
+	now := start
+	r := newRouter(&now)
+	st := testEndpoint("one", "a", 8)
+	st.Sequence, st.Leaving = 2, true
+	r.Update(st, now)
+	st.Sequence, st.Leaving = 1, false
+	r.Update(st, now)
+	_, err := pick(r, now)
+	assert.ErrorIs(t, err, ErrNoEndpoint)
+}
+
+// Guards against requests that leave the failure domain although it has free slots, and against waiting at an agent while another has a free slot.
+func TestLocalFailureDomainFirst(t *testing.T) {
+	now := start
+	r := newRouter(&now)
+	r.Update(testEndpoint("near", "a", 2), now)
+	r.Update(testEndpoint("far", "b", 2), now)
+	var agents []string
+	for range 4 {
+		c, err := pick(r, now)
+		assert.NilError(t, err)
+		agents = append(agents, c.Agent)
+	}
+	assert.DeepEqual(t, agents, []string{"near", "near", "far", "far"})
+}
+
+// Guards against the load of other entries being ignored, and against own requests being counted twice.
+func TestReportedLoadCountsOnce(t *testing.T) {
+	now := start
+	r := newRouter(&now)
+	st := testEndpoint("one", "a", 4)
+	r.Update(st, now)
+	_, err := pick(r, now)
+	assert.NilError(t, err)
+	st.Busy = 4 // one own request and three of others
+	r.Update(st, now)
+	assert.Equal(t, r.endpoints["one"].load(), 4)
+	st.Connections = 4
+	r.Update(st, now)
+	_, err = pick(r, now)
+	assert.ErrorIs(t, err, ErrShed)
+}
+
+// Guards against an endpoint that fails everything getting new work, and against never using it again.
+func TestFailingEndpointIsEjectedAndProbed(t *testing.T) {
+	now := start
+	r := newRouter(&now)
+	for _, agent := range []string{"good", "bad"} {
+		r.Update(testEndpoint(agent, "a", 100), now)
+	}
+	serve := func(bad descriptor.Result) (toBad int) {
+		for range 200 {
+			c, err := pick(r, now)
+			assert.NilError(t, err)
+			result := descriptor.ResultDone
+			if c.Agent == "bad" {
+				toBad++
+				result = bad
+			}
+			r.Done(c, result, time.Millisecond)
+		}
+		return toBad
+	}
+	assert.Equal(t, serve(descriptor.ResultFailed), ejectAfter)
+	now = now.Add(probeAfter)
+	for _, agent := range []string{"good", "bad"} {
+		r.Update(testEndpoint(agent, "a", 100), now)
+	}
+	nesting, err := r.Pick("Nesting", "large", time.Time{}, nil, now)
+	assert.NilError(t, err)
+	assert.Equal(t, nesting.Agent, "good", "work that runs at most once is no probe")
+	assert.Equal(t, serve(descriptor.ResultFailed), 1, "one probe")
+	now = now.Add(2 * probeAfter)
+	for _, agent := range []string{"good", "bad"} {
+		r.Update(testEndpoint(agent, "a", 100), now)
+	}
+	assert.Assert(t, serve(descriptor.ResultDone) > 50, "back in use after a probe that succeeded")
+}
+
+// Guards against more than half of a service being ejected, and against ejection when everything fails for a common cause.
+func TestNeverMoreThanHalfEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		r := newRouter(&now)
+		n := rapid.IntRange(1, 7).Draw(t, "endpoints")
+		bad := rapid.IntRange(0, n).Draw(t, "bad")
+		for i := range n {
+			r.Update(testEndpoint(fmt.Sprint(i), "a", 8), now)
+		}
+		for range 300 {
+			now = now.Add(time.Millisecond)
+			c, err := pick(r, now)
+			assert.NilError(t, err)
+			result := descriptor.ResultDone
+			if c.Agent < fmt.Sprint(bad) {
+				result = descriptor.ResultFailed
+			}
+			r.Done(c, result, time.Millisecond)
+			ejected := r.Explain(Ticket{Class: "Report"}, now).Ejected
+			if 2*ejected > n || bad == n && ejected > 0 {
+				t.Fatalf("%d of %d ejected, %d bad", ejected, n, bad)
+			}
+		}
+	})
+}
+
+// Guards against a wave of retries in an outage.
+func TestRetryBudgetHoldsInOutage(t *testing.T) {
+	now := start
+	r := newRouter(&now)
+	retries, requests, seconds := 0, 10_000, 100
+	for i := range requests {
+		now = start.Add(time.Duration(i*seconds) * time.Second / time.Duration(requests))
+		r.Update(testEndpoint("one", "a", 8), now)
+		c, err := pick(r, now)
+		assert.NilError(t, err)
+		r.Done(c, descriptor.ResultUnknown, time.Millisecond)
+		for range 3 {
+			if r.Retry(now) {
+				retries++
+			}
+		}
+	}
+	limit := retryShare*float64(requests) + retryMinimum*float64(seconds) + retryBurst
+	assert.Assert(t, float64(retries) <= limit, "%d retries, limit %v", retries, limit)
+	assert.Assert(t, float64(retries) > 0.9*limit, "%d retries, limit %v", retries, limit)
+}
+
+// Guards against more in flight than slots and the allowed queue, also with reports that lag and repeated Done.
+func TestInFlightIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		r := newRouter(&now)
+		var open []Choice
+		leaving := map[string]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			agent := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "agent")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				st := testEndpoint(agent, "a", 4)
+				st.Busy = rapid.IntRange(0, 4).Draw(t, "busy")
+				st.Leaving = leaving[agent] || rapid.IntRange(0, 9).Draw(t, "leave") == 0
+				leaving[agent] = st.Leaving
+				r.Update(st, now)
+			case 1:
+				if len(open) > 0 {
+					i := rapid.IntRange(0, len(open)-1).Draw(t, "i")
+					r.Done(open[i], descriptor.ResultDone, 10*time.Millisecond)
+					r.Done(open[i], descriptor.ResultDone, 10*time.Millisecond)
+					open = append(open[:i], open[i+1:]...)
+				}
+			default:
+				c, err := pick(r, now)
+				if err != nil {
+					continue
+				}
+				open = append(open, c)
+				if leaving[c.Agent] {
+					t.Fatalf("%s is leaving", c.Agent)
+				}
+			}
+			counts := map[string]int{}
+			for _, c := range open {
+				if counts[c.Agent]++; counts[c.Agent] > 4+2 {
+					t.Fatalf("%d in flight at %s", counts[c.Agent], c.Agent)
+				}
+			}
+		}
+	})
+}
+
+// Guards against sending requests over the slow link while the local wait is shorter.
+func TestLinkOnlyWhenItPays(t *testing.T) {
+	now := start
+	r := newRouter(&now)
+	r.LinkCost = func(_ descriptor.RegionID, bytes int64) time.Duration {
+		return 24*time.Millisecond + time.Duration(bytes)*8*time.Second/30_000_000
+	}
+	ticket := Ticket{Class: "Report", Workspace: "large", Bytes: 1_000_000}
+	assert.Assert(t, r.WorthForwarding(ticket, "far", now), "nothing is in service here")
+	r.Update(testEndpoint("one", "a", 2), now)
+	assert.Assert(t, !r.WorthForwarding(ticket, "far", now), "a slot is free here")
+	for range 3 {
+		_, err := pick(r, now)
+		assert.NilError(t, err)
+	}
+	// The expected wait is 100 ms, two requests ahead on two slots.
+	assert.Assert(t, !r.WorthForwarding(ticket, "far", now), "1 MB takes 291 ms")
+	ticket.Bytes = 10_000
+	assert.Assert(t, r.WorthForwarding(ticket, "far", now), "10 KB take 27 ms")
+}
+
+// acquire starts n callers that hold their endpoint for the given time, and counts their outcomes by workspace.
+func acquire(wg *sync.WaitGroup, r *Router, n int, t Ticket, hold time.Duration, outcome func(Choice, error)) {
+	for range n {
+		wg.Go(func() {
+			c, err := r.Acquire(context.Background(), t)
+			outcome(c, err)
+			if err == nil {
+				time.Sleep(hold)
+				r.Done(c, descriptor.ResultDone, hold)
+			}
+		})
+	}
+}
+
+// heartbeat reports the endpoint every 500 ms until the context ends. The time is that of the synctest bubble.
+func heartbeat(ctx context.Context, r *Router, st EndpointState) {
+	for ctx.Err() == nil {
+		r.Update(st, time.Now())
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+// Guards against waiters that are never woken, and against a small workspace starved by a large one.
+func TestWaitersAreWokenAndSmallWorkspaceIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Router{Region: "r", Seed: 1}
+		r.Configure(testConfiguration(), time.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go heartbeat(ctx, r, testEndpoint("one", "a", 2))
+		synctest.Wait()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		served := map[descriptor.WorkspaceID]int{}
+		var order []descriptor.WorkspaceID
+		count := func(c Choice, err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				served[c.Workspace]++
+				order = append(order, c.Workspace)
+			}
+		}
+		hour := time.Now().Add(time.Hour)
+		acquire(&wg, r, 800, Ticket{Class: "Preview", Workspace: "large", Deadline: hour}, 100*time.Millisecond, count)
+		synctest.Wait()
+		acquire(&wg, r, 10, Ticket{Class: "Report", Workspace: "small", Deadline: hour.Add(time.Hour)}, 100*time.Millisecond, count)
+		wg.Wait()
+		assert.Equal(t, served["large"], 800)
+		assert.Equal(t, served["small"], 10)
+		last := 0
+		for i, ws := range order {
+			if ws == "small" {
+				last = i
+			}
+		}
+		assert.Assert(t, last < 500, "the last of ten requests of the small workspace was number %d", last)
+	})
+}
+
+// Guards against a full queue that refuses urgent work, or work of the workspace that did not fill it.
+func TestFullQueueShedsLeastUrgentOfLargestUser(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Router{Region: "r", QueueLimit: 10}
+		r.Configure(testConfiguration(), time.Now())
+		st := testEndpoint("one", "a", 1)
+		st.Connections = 1
+		r.Update(st, time.Now())
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		errs := map[string][]error{}
+		go heartbeat(t.Context(), r, st)
+		ask := func(n int, class descriptor.ClassID, ws descriptor.WorkspaceID, deadline time.Duration) {
+			name := string(ws) + " " + string(class)
+			acquire(&wg, r, n, Ticket{Class: class, Workspace: ws, Deadline: time.Now().Add(deadline)}, 100*time.Millisecond, func(_ Choice, err error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					errs[name] = append(errs[name], err)
+				}
+			})
+			synctest.Wait()
+		}
+		ask(11, "Report", "large", time.Minute)
+		ask(1, "Report", "large", 2*time.Minute)
+		ask(1, "Report", "small", 3*time.Minute)
+		ask(2, "Preview", "large", 5*time.Second)
+		wg.Wait()
+		assert.Equal(t, len(errs), 1, "%v", errs)
+		reports := errs["large Report"]
+		assert.Equal(t, len(reports), 4)
+		assert.ErrorIs(t, reports[0], ErrQueueFull)
+		for _, err := range reports[1:] {
+			assert.ErrorIs(t, err, ErrShed)
+		}
+	})
+}
+
+// Guards against waiting beyond the deadline, for an endpoint that never comes, or after the caller has gone.
+func TestWaitingEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Router{Region: "r"}
+		r.Configure(testConfiguration(), time.Now())
+		begin := time.Now()
+		_, err := r.Acquire(t.Context(), Ticket{Class: "Report", Workspace: "small"})
+		assert.ErrorIs(t, err, ErrNoEndpoint)
+		assert.Equal(t, time.Since(begin), endpointPatience)
+
+		st := testEndpoint("one", "a", 1)
+		st.Connections = 1
+		go heartbeat(t.Context(), r, st)
+		synctest.Wait()
+		held, err := r.Acquire(t.Context(), Ticket{Class: "Report", Workspace: "small"})
+		assert.NilError(t, err)
+		begin = time.Now()
+		_, err = r.Acquire(t.Context(), Ticket{Class: "Preview", Workspace: "small"})
+		assert.ErrorIs(t, err, ErrDeadline)
+		assert.Equal(t, time.Since(begin), 2*time.Second)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = r.Acquire(ctx, Ticket{Class: "Report", Workspace: "small"})
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		r.Done(held, descriptor.ResultDone, time.Second)
+		assert.Equal(t, r.Explain(Ticket{Class: "Report"}, time.Now()).Load, 0)
+		_, err = r.Acquire(t.Context(), Ticket{Class: "Report", Workspace: "small"})
+		assert.NilError(t, err)
+	})
+}
