replayer: trace format, generator, replay, comparison and plots

The replay counts violations, adjacency, capacity and ends on its own account, so that a policy is not judged by what it says of itself. Reader, generator and model tests pass with the first-fit core; TestFaultsAreAccountedFor needs the core's handling of lost workers, which that core does not have yet.

--- /dev/null
+++ b/internal/replayer/compare.go
@@ -0,0 +1,177 @@
+package replayer
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"persimmontrail/internal/scheduler"
+)
+
+// Comparison holds the reports of both policies on one trace.
+type Comparison struct {
+	Trace                Trace
+	Guaranteed, Baseline *Report
+}
+
+// OutcomeResult tells whether a stated outcome was met.
+type OutcomeResult struct {
+	Outcome Outcome
+	Met     bool
+	// Detail gives the figures.
+	Detail string
+}
+
+// Compare replays t with both policies.
+func Compare(t Trace) (*Comparison, error) {
+	guaranteed, err := Replay(t, scheduler.PolicyGuaranteed)
+	if err != nil {
+		return nil, err
+	}
+	baseline, err := Replay(t, scheduler.PolicyBaseline)
+	if err != nil {
+		return nil, err
+	}
+	return &Comparison{Trace: t, Guaranteed: guaranteed, Baseline: baseline}, nil
+}
+
+// Outcomes checks the outcomes that the trace states.
+func (c *Comparison) Outcomes() []OutcomeResult {
+	var results []OutcomeResult
+	for _, o := range c.Trace.Header.Outcomes {
+		met, detail := c.check(o)
+		results = append(results, OutcomeResult{Outcome: o, Met: met, Detail: detail})
+	}
+	return results
+}
+
+func (c *Comparison) check(o Outcome) (bool, string) {
+	g, b := c.Guaranteed, c.Baseline
+	switch o.Name {
+	case OutcomeGuaranteeViolations:
+		return atMost(o, g.GuaranteeViolations, b.GuaranteeViolations)
+	case OutcomeUrgentWithinTarget:
+		return c.checkUrgent(o)
+	case OutcomeLargeWait:
+		ratio := 1.0
+		if b.LargeWait.P95 > 0 {
+			ratio = float64(g.LargeWait.P95) / float64(b.LargeWait.P95)
+		}
+		return ratio <= o.Limit, fmt.Sprintf("%v to %v, ratio %.2f, limit %.2f", short(g.LargeWait.P95), short(b.LargeWait.P95), ratio, o.Limit)
+	case OutcomeUtilisation:
+		points := 100 * (b.Utilisation - g.Utilisation)
+		return points <= o.Limit, fmt.Sprintf("%.1f points below, limit %.1f", points, o.Limit)
+	case OutcomeUnaccounted:
+		return atMost(o, g.Unaccounted, b.Unaccounted)
+	case OutcomePartialGangs:
+		return atMost(o, g.PartialGangs, b.PartialGangs)
+	case OutcomeRemovedDomain:
+		return atMost(o, g.StartsInRemovedDomain, b.StartsInRemovedDomain)
+	case OutcomeRepeatedRuns:
+		return atMost(o, g.RepeatedRuns, b.RepeatedRuns)
+	case OutcomeInvalidDecisions:
+		return atMost(o, g.InvalidDecisions, b.InvalidDecisions)
+	}
+	return false, "unknown outcome"
+}
+
+func atMost(o Outcome, guaranteed, baseline int) (bool, string) {
+	return float64(guaranteed) <= o.Limit, fmt.Sprintf("%d, limit %.0f; baseline %d", guaranteed, o.Limit, baseline)
+}
+
+func (c *Comparison) checkUrgent(o Outcome) (bool, string) {
+	g, b := c.Guaranteed.class(o.Class), c.Baseline.class(o.Class)
+	if g == nil || b == nil || g.Completed == 0 {
+		return false, fmt.Sprintf("no completed job of class %s", o.Class)
+	}
+	baseline := "misses it"
+	if b.Completion.P99 <= b.Target {
+		baseline = "meets it too"
+	}
+	detail := fmt.Sprintf("%s p99 %v, target %v; baseline %v, %s", o.Class, short(g.Completion.P99), short(g.Target), short(b.Completion.P99), baseline)
+	return g.Completion.P99 <= g.Target, detail
+}
+
+// Table prints both reports side by side and the outcomes below.
+func (c *Comparison) Table() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Trace %s, seed %d\n\n", c.Trace.Header.Name, c.Trace.Header.Seed)
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "measure\tguaranteed\tbaseline")
+	for _, r := range c.rows() {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", r.name, r.cell(c.Guaranteed), r.cell(c.Baseline))
+	}
+	fmt.Fprintln(w, "\t\t")
+	fmt.Fprintln(w, "outcome\tmet\tfigures")
+	for _, o := range c.Outcomes() {
+		met := "no"
+		if o.Met {
+			met = "yes"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\n", o.Outcome.Name, met, o.Detail)
+	}
+	w.Flush()
+	return b.String()
+}
+
+// row is one line of the table.
+type row struct {
+	name string
+	cell func(*Report) string
+}
+
+func (c *Comparison) rows() []row {
+	var rows []row
+	for i, k := range c.Guaranteed.Classes {
+		rows = append(rows,
+			row{fmt.Sprintf("%s completion p50, p95, p99", k.Class), func(r *Report) string { return r.Classes[i].Completion.String() }},
+			row{fmt.Sprintf("%s within %v", k.Class, short(k.Target)), func(r *Report) string {
+				return fmt.Sprintf("%s of %d", percent(r.Classes[i].WithinTarget), r.Classes[i].Completed)
+			}})
+	}
+	rows = append(rows,
+		row{"large jobs' wait p50, p95, p99", func(r *Report) string { return r.LargeWait.String() }},
+		row{"utilisation", func(r *Report) string { return percent(r.Utilisation) }},
+		row{"fragmentation", func(r *Report) string { return percent(r.Fragmentation) }},
+		row{"reclaims", func(r *Report) string { return fmt.Sprint(r.Reclaims) }},
+		row{"lost to reclaim", func(r *Report) string { return fmt.Sprintf("%.1f accelerator-h", r.LostToReclaim) }},
+		row{"lost to failures", func(r *Report) string { return fmt.Sprintf("%.1f accelerator-h", r.LostToFailures) }},
+		row{"guarantee violations", func(r *Report) string { return fmt.Sprint(r.GuaranteeViolations) }},
+		row{"accepted = completed + cancelled + refused + unaccounted", func(r *Report) string {
+			return fmt.Sprintf("%d = %d + %d + %d + %d", r.Accepted, r.Completed, r.Cancelled, r.Refused, r.Unaccounted)
+		}},
+		row{"partial gangs", func(r *Report) string { return fmt.Sprint(r.PartialGangs) }},
+		row{"starts in a removed failure domain", func(r *Report) string { return fmt.Sprint(r.StartsInRemovedDomain) }},
+		row{"repeated non-idempotent runs", func(r *Report) string { return fmt.Sprint(r.RepeatedRuns) }},
+		row{"invalid decisions", func(r *Report) string { return fmt.Sprint(r.InvalidDecisions) }},
+	)
+	for i, v := range c.Guaranteed.Windows {
+		rows = append(rows, row{fmt.Sprintf("work while %s was out and back", v.FailureDomain), func(r *Report) string { return r.Windows[i].String() }})
+	}
+	return rows
+}
+
+// String gives the work with and without the fault.
+func (w Window) String() string {
+	part := 0.0
+	if w.WorkWithoutFault > 0 {
+		part = w.Work / w.WorkWithoutFault
+	}
+	return fmt.Sprintf("%.1f of %.1f accelerator-h (%s)", w.Work, w.WorkWithoutFault, percent(part))
+}
+
+// String gives the three values.
+func (p Percentiles) String() string {
+	return fmt.Sprintf("%v, %v, %v", short(p.P50), short(p.P95), short(p.P99))
+}
+
+func percent(v float64) string { return fmt.Sprintf("%.1f%%", 100*v) }
+
+// short rounds to the second, or to 100 ms below ten seconds.
+func short(d time.Duration) time.Duration {
+	if d < 10*time.Second {
+		return d.Round(100 * time.Millisecond)
+	}
+	return d.Round(time.Second)
+}
--- /dev/null
+++ b/internal/replayer/plot.go
@@ -0,0 +1,175 @@
+package replayer
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// Colours of the palette of Okabe and Ito, which colour-blind readers can tell apart; the lines differ in their dashes as well.
+var (
+	guaranteedColour = color.RGBA{G: 0x72, B: 0xB2, A: 0xFF}
+	baselineColour   = color.RGBA{R: 0xD5, G: 0x5E, A: 0xFF}
+	targetColour     = color.RGBA{A: 0xFF}
+	baselineDashes   = []vg.Length{vg.Points(5), vg.Points(3)}
+	targetDashes     = []vg.Length{vg.Points(1), vg.Points(2)}
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// Plot writes the plots of c as PNG and SVG files named after prefix into dir, and returns their paths.
+func (c *Comparison) Plot(dir, prefix string) ([]string, error) {
+	plots := map[string]func() (*plot.Plot, error){
+		"utilisation": func() (*plot.Plot, error) { return c.overTime("Utilisation", "accelerators in use (%)", utilisationOf) },
+		"fragmentation": func() (*plot.Plot, error) {
+			return c.overTime("Fragmentation", "free accelerators of no use to the largest shape (%)", fragmentationOf)
+		},
+		"completion": func() (*plot.Plot, error) { return c.completion(c.urgentClass()) },
+	}
+	var paths []string
+	for _, name := range []string{"utilisation", "fragmentation", "completion"} {
+		p, err := plots[name]()
+		if err != nil {
+			return paths, fmt.Errorf("plot %s: %w", name, err)
+		}
+		for _, format := range []string{"png", "svg"} {
+			path := filepath.Join(dir, prefix+"-"+name+"."+format)
+			if err := save(p, path, format); err != nil {
+				return paths, err
+			}
+			paths = append(paths, path)
+		}
+	}
+	return paths, nil
+}
+
+func save(p *plot.Plot, path, format string) error {
+	w, err := p.WriterTo(plotWidth, plotHeight, format)
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", path, err)
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	if _, err := w.WriteTo(f); err != nil {
+		f.Close()
+		return fmt.Errorf("plot %s: %w", path, err)
+	}
+	return f.Close()
+}
+
+func utilisationOf(s Sample) float64 { return 100 * s.Utilisation }
+
+func fragmentationOf(s Sample) float64 {
+	if s.Free == 0 {
+		return 0
+	}
+	return 100 * float64(s.Unusable) / float64(s.Free)
+}
+
+// urgentClass is the class of the outcome for urgent work, or the first class.
+func (c *Comparison) urgentClass() descriptor.ClassID {
+	for _, o := range c.Trace.Header.Outcomes {
+		if o.Name == OutcomeUrgentWithinTarget {
+			return o.Class
+		}
+	}
+	if len(c.Guaranteed.Classes) > 0 {
+		return c.Guaranteed.Classes[0].Class
+	}
+	return ""
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+func (c *Comparison) overTime(title, unit string, value func(Sample) float64) (*plot.Plot, error) {
+	p := newPlot(title+": "+c.Trace.Header.Name, "time since the start of the trace (h)", unit)
+	p.Y.Min, p.Y.Max = 0, 100
+	points := func(r *Report) plotter.XYs {
+		var xys plotter.XYs
+		for _, s := range r.Samples {
+			xys = append(xys, plotter.XY{X: s.At.Hours(), Y: value(s)})
+		}
+		return xys
+	}
+	return p, c.addLines(p, points)
+}
+
+// completion plots the distribution of completion times.
+func (c *Comparison) completion(class descriptor.ClassID) (*plot.Plot, error) {
+	p := newPlot(fmt.Sprintf("Completion time of %s: %s", class, c.Trace.Header.Name), "time from arrival to completion (s)", "completed jobs (%)")
+	p.X.Scale = plot.LogScale{}
+	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
+	points := func(r *Report) plotter.XYs {
+		k := r.class(class)
+		if k == nil {
+			return nil
+		}
+		var xys plotter.XYs
+		for i, t := range k.Times {
+			// The logarithmic axis needs values above 0.
+			xys = append(xys, plotter.XY{X: math.Max(t.Seconds(), 0.1), Y: 100 * float64(i+1) / float64(len(k.Times))})
+		}
+		return xys
+	}
+	if err := c.addLines(p, points); err != nil {
+		return nil, err
+	}
+	k := c.Guaranteed.class(class)
+	if k == nil || k.Target <= 0 {
+		return p, nil
+	}
+	target, err := plotter.NewLine(plotter.XYs{{X: k.Target.Seconds(), Y: 0}, {X: k.Target.Seconds(), Y: 100}})
+	if err != nil {
+		return nil, err
+	}
+	target.Color, target.Dashes = targetColour, targetDashes
+	p.Add(target)
+	p.Legend.Add("target", target)
+	return p, nil
+}
+
+func (c *Comparison) addLines(p *plot.Plot, points func(*Report) plotter.XYs) error {
+	for _, s := range []struct {
+		name   string
+		report *Report
+		colour color.Color
+		dashes []vg.Length
+	}{
+		{"guaranteed", c.Guaranteed, guaranteedColour, nil},
+		{"baseline", c.Baseline, baselineColour, baselineDashes},
+	} {
+		xys := points(s.report)
+		if len(xys) == 0 {
+			return fmt.Errorf("no data for the %s policy", s.name)
+		}
+		line, err := plotter.NewLine(xys)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Dashes, line.Width = s.colour, s.dashes, vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(s.name, line)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replayer/replay_test.go
@@ -0,0 +1,134 @@
+package replayer
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+)
+
+// testTrace adds jobs of a whole worker each to the header with two workers.
+func testTrace(t *testing.T, jobs ...string) Trace {
+	tr, err := Read(strings.NewReader(testHeader))
+	assert.NilError(t, err)
+	for i, s := range jobs {
+		fields := strings.Fields(s) // workspace, arrival, run time
+		at, err := time.ParseDuration(fields[1])
+		assert.NilError(t, err)
+		run, err := time.ParseDuration(fields[2])
+		assert.NilError(t, err)
+		tr.Events = append(tr.Events, Event{
+			At: descriptor.Duration(at), Kind: JobArrives, RunTime: descriptor.Duration(run),
+			Job: &descriptor.Job{
+				ID: descriptor.JobID(rune('a' + i)), Workspace: descriptor.WorkspaceID(fields[0]), Class: "Draft", Tasks: 1,
+				PerTask: descriptor.Resources{Cores: 1, Memory: 1, Accelerators: 8}, Adjacency: descriptor.LevelWorker,
+				DeclaredRunTime: descriptor.Duration(run),
+			},
+		})
+	}
+	return tr
+}
+
+// Guards against a model whose times differ from those that docs/traces.md states.
+func TestReplayOfKnownCase(t *testing.T) {
+	tr := testTrace(t, "a 0s 10m", "a 0s 20m", "a 1m 30m")
+	r, err := Replay(tr, scheduler.PolicyBaseline)
+	assert.NilError(t, err)
+	// Each job starts one second after its decision; the third one when the first has ended.
+	want := []time.Duration{10*time.Minute + time.Second, 20*time.Minute + time.Second, 39*time.Minute + 2*time.Second}
+	assert.DeepEqual(t, r.Classes[0].Times, want)
+	assert.Equal(t, r.Completed, 3)
+	busy := 10*time.Minute + 20*time.Minute + 30*time.Minute + 3*time.Second
+	assert.Assert(t, r.Utilisation-busy.Hours()/2 < 1e-9 && busy.Hours()/2-r.Utilisation < 1e-9, "utilisation %v", r.Utilisation)
+	assert.Equal(t, r.GuaranteeViolations, 0)
+}
+
+// Guards against a violation count that relies on what the policy says of itself.
+func TestViolationIsCountedForBaseline(t *testing.T) {
+	tr := testTrace(t, "a 0s 10m", "a 0s 10m", "b 1m 1m", "b 2m 1m")
+	r, err := Replay(tr, scheduler.PolicyBaseline)
+	assert.NilError(t, err)
+	assert.Equal(t, r.GuaranteeViolations, 2)
+	assert.Equal(t, r.Violations[0].Key, descriptor.JobKey{Workspace: "b", Job: "c"})
+
+	// With a worker missing, both guarantees cannot be honoured and nothing counts.
+	tr.Events = append([]Event{{Kind: WorkerFails, Worker: "w2"}}, tr.Events...)
+	r, err = Replay(tr, scheduler.PolicyBaseline)
+	assert.NilError(t, err)
+	assert.Equal(t, r.GuaranteeViolations, 0)
+}
+
+// Guards against jobs that vanish from the account when faults meet them.
+func TestFaultsAreAccountedFor(t *testing.T) {
+	for _, p := range []scheduler.Policy{scheduler.PolicyGuaranteed, scheduler.PolicyBaseline} {
+		tr := testTrace(t, "a 0s 10m", "a 0s 10m", "b 1m 1m", "b 1m 5m")
+		key := tr.Events[3].Job.Key()
+		tr.Events = append(tr.Events,
+			Event{At: minutes(2), Kind: JobCancelled, Key: &key},
+			Event{At: minutes(3), Kind: WorkerFails, Worker: "w1"},
+			Event{At: minutes(4), Kind: WorkerReturns, Worker: "w1"},
+			Event{At: minutes(5), Kind: FailureDomainOut, FailureDomain: "d"},
+			Event{At: minutes(8), Kind: FailureDomainIn, FailureDomain: "d"})
+		r, err := Replay(tr, p)
+		assert.NilError(t, err)
+		assert.Equal(t, r.Completed, 3, "policy %d", p)
+		assert.Equal(t, r.Cancelled, 1)
+		assert.Equal(t, r.StartsInRemovedDomain, 0)
+		assert.Assert(t, r.LostToFailures > 0)
+		assert.Equal(t, len(r.Windows), 1)
+		assert.Assert(t, r.Windows[0].Work < r.Windows[0].WorkWithoutFault)
+	}
+}
+
+// testComparison has figures that do not depend on the scheduler.
+func testComparison(t *testing.T) *Comparison {
+	tr := testTrace(t)
+	tr.Header.Outcomes = Generate(GenerateOptions{Load: 0.01}).Header.Outcomes
+	tr.Header.Outcomes[1].Class = "Draft"
+	report := func(p99 time.Duration, violations int) *Report {
+		return &Report{
+			Classes: []ClassReport{{
+				Class: "Draft", Target: 10 * time.Minute, Completed: 3, WithinTarget: 2.0 / 3,
+				Completion: Percentiles{P50: 1250 * time.Millisecond, P95: time.Minute, P99: p99},
+				Times:      []time.Duration{1250 * time.Millisecond, time.Minute, p99},
+			}},
+			Accepted: 6, Completed: 3, Cancelled: 2, Refused: 1, LargeWait: Percentiles{P95: p99 / 2},
+			Utilisation: 0.75, Fragmentation: 0.125, GuaranteeViolations: violations,
+			Samples: []Sample{{At: time.Minute, Utilisation: 0.5, Free: 8, Unusable: 2}, {At: time.Hour}},
+			Windows: []Window{{FailureDomain: "d", Work: 90, WorkWithoutFault: 100}},
+		}
+	}
+	return &Comparison{Trace: tr, Guaranteed: report(5*time.Minute, 0), Baseline: report(15*time.Minute, 7)}
+}
+
+// Guards against a table that leaves out a figure or an outcome.
+func TestTable(t *testing.T) {
+	golden.Assert(t, testComparison(t).Table(), "table.golden")
+}
+
+// Guards against outcomes that are called met when the figures say otherwise.
+func TestOutcomesAreNotMetByBaselineFigures(t *testing.T) {
+	c := testComparison(t)
+	c.Guaranteed, c.Baseline = c.Baseline, c.Guaranteed
+	for i, o := range c.Outcomes()[:3] {
+		assert.Assert(t, !o.Met, "outcome %d: %s", i, o.Detail)
+	}
+}
+
+// Guards against plots that are not written, or empty.
+func TestPlots(t *testing.T) {
+	paths, err := testComparison(t).Plot(t.TempDir(), "test")
+	assert.NilError(t, err)
+	assert.Equal(t, len(paths), 6)
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) > 1000, "%s has %d bytes", path, len(data))
+	}
+}
--- /dev/null
+++ b/internal/replayer/trace_test.go
@@ -0,0 +1,109 @@
+package replayer
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+)
+
+// committed are the traces in testdata, by file name without extension.
+var committed = map[string]GenerateOptions{
+	"beaulieu-ordinary": {Deployment: Beaulieu, Seed: 1},
+	"beaulieu-bad":      {Deployment: Beaulieu, Seed: 2, Bad: true},
+	"destovka-ordinary": {Deployment: Destovka, Seed: 3},
+	"destovka-bad":      {Deployment: Destovka, Seed: 4, Bad: true},
+}
+
+func written(t testing.TB, tr Trace) []byte {
+	var b bytes.Buffer
+	assert.NilError(t, Write(&b, tr))
+	return b.Bytes()
+}
+
+// Guards against a generator that gives another trace for the same seed, which would change what earlier figures mean.
+func TestCommittedTracesAreGenerated(t *testing.T) {
+	for name, o := range committed {
+		t.Run(name, func(t *testing.T) {
+			data := written(t, Generate(o))
+			assert.Assert(t, len(data) < 400_000, "%d bytes", len(data))
+			golden.AssertBytes(t, data, name+".jsonl")
+			_, err := Read(bytes.NewReader(data))
+			assert.NilError(t, err)
+		})
+	}
+}
+
+// Guards against fields that are lost between writing and reading.
+func TestTraceSurvivesWriting(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := GenerateOptions{
+			Deployment: rapid.SampledFrom([]string{Beaulieu, Destovka}).Draw(rt, "deployment"),
+			Bad:        rapid.Bool().Draw(rt, "bad"),
+			Seed:       rapid.Uint64().Draw(rt, "seed"),
+			Load:       rapid.Float64Range(0.01, 0.1).Draw(rt, "load"),
+		}
+		want := Generate(o)
+		got, err := Read(bytes.NewReader(written(t, want)))
+		assert.NilError(rt, err)
+		assert.DeepEqual(rt, got, want)
+	})
+}
+
+const testHeader = `{"Format":"persimmontrail-trace/1","Name":"test","Deployment":"test","Start":"2026-11-03T06:00:00Z","Duration":"1h0m0s","CheckpointTime":"5s","Configuration":{"Revision":1,"AcceptedAt":"0001-01-01T00:00:00Z","Workspaces":[{"Name":"a","Guarantees":[{"Accelerators":8,"Adjacency":"Worker"}]},{"Name":"b","Guarantees":[{"Accelerators":8,"Adjacency":"Worker"}]}],"Classes":[{"Name":"Draft","FinishWithin":"10m0s","Share":1}],"FailureDomains":[{"Name":"d","Region":"r"}]},"Fleet":[{"ID":"w1","Rack":"k","FailureDomain":"d","Region":"r","Cores":64,"Memory":128000,"Accelerators":8,"Guard":true},{"ID":"w2","Rack":"k","FailureDomain":"d","Region":"r","Cores":64,"Memory":128000,"Accelerators":8,"Guard":true}]}` + "\n"
+
+const testArrival = `{"At":"1s","Kind":"JobArrives","Job":{"ID":"j1","Workspace":"a","Class":"Draft","Tasks":1,"PerTask":{"Cores":1,"Memory":1,"Accelerators":8},"Adjacency":"Worker","DeclaredRunTime":"1m"},"RunTime":"1m"}` + "\n"
+
+// Guards against errors that do not tell where the trace is wrong.
+func TestReaderNamesLineAndField(t *testing.T) {
+	arrival := func(from, to string) string { return testHeader + strings.Replace(testArrival, from, to, 1) }
+	cases := map[string]struct{ text, want string }{
+		"empty":              {"", "trace line 1: no header"},
+		"format":             {strings.Replace(testHeader, "trace/1", "trace/9", 1), "trace line 1: field Format: "},
+		"unit in the fleet":  {strings.Replace(testHeader, `"Cores":64`, `"Cores":"x"`, 1), "trace line 1: field Fleet.0.Cores: "},
+		"level":              {strings.Replace(testHeader, `"Worker"}]},{"Name":"b"`, `"Room"}]},{"Name":"b"`, 1), "trace line 1: field Configuration.Workspaces.0.Guarantees.0.Adjacency: "},
+		"repeated worker":    {strings.Replace(testHeader, `"w2"`, `"w1"`, 1), "trace line 1: field Fleet.1.ID: "},
+		"no JSON":            {testHeader + "x\n", "trace line 2: invalid character"},
+		"duration":           {arrival(`"DeclaredRunTime":"1m"`, `"DeclaredRunTime":"soon"`), "trace line 2: field Job.DeclaredRunTime: "},
+		"unknown field":      {arrival(`"Tasks"`, `"Task"`), `trace line 2: field Job: json: unknown field "Task"`},
+		"tasks":              {arrival(`"Tasks":1`, `"Tasks":257`), "trace line 2: field Job.Tasks: "},
+		"run time":           {arrival(`"RunTime":"1m"}`, `"RunTime":"0s"}`), "trace line 2: field RunTime: "},
+		"order":              {testHeader + testArrival + `{"At":"0s","Kind":"WorkerFails","Worker":"w1"}`, "trace line 3: field At: "},
+		"repeated job":       {testHeader + testArrival + testArrival, "trace line 3: field Job.ID: "},
+		"unknown worker":     {testHeader + `{"At":"0s","Kind":"WorkerFails","Worker":"w9"}`, "trace line 2: field Worker: "},
+		"unknown domain":     {testHeader + `{"At":"0s","Kind":"FailureDomainOut","FailureDomain":"x"}`, "trace line 2: field FailureDomain: "},
+		"cancelled too soon": {testHeader + `{"At":"0s","Kind":"JobCancelled","Key":{"Workspace":"a","Job":"j1"}}`, "trace line 2: field Key: "},
+		"kind":               {testHeader + `{"At":"0s","Kind":"Rain"}`, "trace line 2: field Kind: "},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Read(strings.NewReader(c.text))
+			assert.ErrorContains(t, err, c.want)
+			var format *FormatError
+			assert.Assert(t, errors.As(err, &format))
+		})
+	}
+}
+
+// Guards against a reader that panics, or accepts what it cannot write again.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(testHeader + testArrival))
+	bad, err := os.ReadFile(filepath.Join("testdata", "destovka-bad.jsonl"))
+	assert.NilError(f, err)
+	f.Add(bad[:20_000])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, err := Read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		again, err := Read(bytes.NewReader(written(t, first)))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, written(t, again), written(t, first))
+	})
+}
