--- /dev/null
+++ b/internal/faker/store.go
@@ -0,0 +1,469 @@
+package faker
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// Limits of the platform's store.
+const (
+	// MaxValue is the largest value in bytes.
+	MaxValue = 1_000_000
+	// DefaultWritesPerSecond and DefaultReadsPerSecond are the rates of the platform's store.
+	DefaultWritesPerSecond = 600
+	DefaultReadsPerSecond  = 2000
+)
+
+// Store is a stand-in for the platform's key-value store. The zero value is an empty store.
+type Store struct {
+	// LoseWrite, when set, decides instead of LoseAnswers whether the answer to a write is lost.
+	LoseWrite func() bool
+
+	mu       sync.Mutex
+	switches StoreSwitches
+	// version only grows, so the versions of each key do too, also after deletion.
+	version int64
+	nextID  int64
+	keys    map[string]storeValue
+	leases  map[string]*storeLease
+	changes broadcast
+	stats   StoreStats
+	lost    share
+	writes  bucket
+	reads   bucket
+}
+
+// StoreSwitches are the faults and rates of a Store.
+type StoreSwitches struct {
+	// Down answers 503 without effect.
+	Down bool
+	// Slow delays every call, half of it before the effect. A write takes effect even when its caller has given up.
+	Slow descriptor.Duration
+	// LoseAnswers is the share of writes that take effect and then lose their answer.
+	LoseAnswers float64
+	// WritesPerSecond and ReadsPerSecond are limits; 0 means the default, below 0 means no limit.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+}
+
+// StoreStats are the counters of a Store.
+type StoreStats struct {
+	// Calls by kind: Get, Watch, Put, Delete, List, GrantLease, RenewLease, RevokeLease. A pending watch is one call.
+	Calls map[string]int64
+	// Refused by kind are the calls over the rate, DownAnswers those while the store was down.
+	Refused     map[string]int64
+	DownAnswers int64
+	// Conflicts are writes that expected another version.
+	Conflicts int64
+	// LostAnswers are writes that took effect without an answer.
+	LostAnswers  int64
+	Keys         int
+	Leases       int
+	LargestValue int
+}
+
+type storeValue struct {
+	Data    []byte
+	Version int64
+	lease   string
+}
+
+type storeLease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// bucket is a token bucket that holds at most one second of its rate.
+type bucket struct {
+	tokens float64
+	last   time.Time
+}
+
+func (b *bucket) take(rate float64, now time.Time) bool {
+	if rate < 0 {
+		return true
+	}
+	if b.last.IsZero() {
+		b.tokens = rate
+	} else {
+		b.tokens = min(rate, b.tokens+rate*now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Switch changes the switches.
+func (s *Store) Switch(change func(*StoreSwitches)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.switches)
+	s.changes.wake()
+}
+
+// Stats returns a copy of the counters.
+func (s *Store) Stats() StoreStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	st := s.stats
+	st.Calls = maps.Clone(st.Calls)
+	st.Refused = maps.Clone(st.Refused)
+	st.Keys = len(s.keys)
+	st.Leases = len(s.leases)
+	return st
+}
+
+// ServeHTTP serves the protocol of the store.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	path := r.URL.Path
+	key, isKey := strings.CutPrefix(path, "/v1/keys/")
+	lease, isLease := strings.CutPrefix(path, "/v1/leases/")
+	switch {
+	case path == "/admin/stats" && r.Method == http.MethodGet:
+		writeJSON(w, http.StatusOK, s.Stats())
+	case path == "/admin/switches" && r.Method == http.MethodPut:
+		s.putSwitches(w, r)
+	case isKey && key != "" && r.Method == http.MethodGet:
+		s.get(w, r, key)
+	case isKey && key != "" && r.Method == http.MethodPut:
+		s.put(w, r, key)
+	case isKey && key != "" && r.Method == http.MethodDelete:
+		s.remove(w, r, key)
+	case path == "/v1/list" && r.Method == http.MethodGet:
+		s.list(w, r)
+	case path == "/v1/leases" && r.Method == http.MethodPost:
+		s.grant(w, r)
+	case isLease && strings.HasSuffix(lease, "/renew") && r.Method == http.MethodPost:
+		s.renew(w, strings.TrimSuffix(lease, "/renew"))
+	case isLease && r.Method == http.MethodDelete:
+		s.revoke(w, lease)
+	default:
+		writeError(w, http.StatusNotFound, "no such path: %s %s", r.Method, path)
+	}
+}
+
+func (s *Store) putSwitches(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	next := s.switches
+	s.mu.Unlock()
+	if err := decode(r.Body, &next); err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	s.Switch(func(sw *StoreSwitches) { *sw = next })
+	writeJSON(w, http.StatusOK, next)
+}
+
+// admit counts a call, applies the rate and the first half of the delay, and reports whether the call may proceed.
+func (s *Store) admit(w http.ResponseWriter, kind string, write bool) bool {
+	s.mu.Lock()
+	if s.stats.Calls == nil {
+		s.stats.Calls, s.stats.Refused = map[string]int64{}, map[string]int64{}
+	}
+	s.stats.Calls[kind]++
+	slow, down := s.switches.Slow.Std(), s.switches.Down
+	allowed := down || s.takeToken(write, time.Now())
+	if !allowed {
+		s.stats.Refused[kind]++
+	}
+	if down {
+		s.stats.DownAnswers++
+	}
+	s.mu.Unlock()
+	if down {
+		writeError(w, http.StatusServiceUnavailable, "the store is down")
+		return false
+	}
+	if !allowed {
+		writeError(w, http.StatusTooManyRequests, "over the rate")
+		return false
+	}
+	time.Sleep(slow / 2)
+	return true
+}
+
+func (s *Store) takeToken(write bool, now time.Time) bool {
+	if write {
+		return s.writes.take(orDefault(s.switches.WritesPerSecond, DefaultWritesPerSecond), now)
+	}
+	return s.reads.take(orDefault(s.switches.ReadsPerSecond, DefaultReadsPerSecond), now)
+}
+
+func orDefault(v, standard float64) float64 {
+	if v == 0 {
+		return standard
+	}
+	return v
+}
+
+// answerWrite applies the second half of the delay and may lose the answer.
+func (s *Store) answerWrite(w http.ResponseWriter, status int, v any) {
+	s.mu.Lock()
+	slow := s.switches.Slow.Std()
+	lose := false
+	if status < 300 {
+		if s.LoseWrite != nil {
+			lose = s.LoseWrite()
+		} else {
+			lose = s.lost.hit(s.switches.LoseAnswers)
+		}
+	}
+	if lose {
+		s.stats.LostAnswers++
+	}
+	if status == http.StatusConflict {
+		s.stats.Conflicts++
+	}
+	s.mu.Unlock()
+	time.Sleep(slow / 2)
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, status, v)
+}
+
+// expire removes lapsed leases and their keys. The caller holds mu.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *Store) dropLease(id string) {
+	delete(s.leases, id)
+	for k, v := range s.keys {
+		if v.lease == id {
+			delete(s.keys, k)
+			s.version++
+		}
+	}
+	s.changes.wake()
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request, key string) {
+	q := r.URL.Query()
+	known, wait := int64(0), time.Duration(0)
+	hasKnown := q.Has("known")
+	var err error
+	if hasKnown {
+		if known, err = strconv.ParseInt(q.Get("known"), 10, 64); err != nil {
+			writeError(w, http.StatusBadRequest, "known: %v", err)
+			return
+		}
+	}
+	if q.Has("wait") {
+		if wait, err = time.ParseDuration(q.Get("wait")); err != nil {
+			writeError(w, http.StatusBadRequest, "wait: %v", err)
+			return
+		}
+	}
+	kind := "Get"
+	if wait > 0 {
+		kind = "Watch"
+	}
+	if !s.admit(w, kind, false) {
+		return
+	}
+	v, status := s.await(r, key, hasKnown, known, wait)
+	s.mu.Lock()
+	slow := s.switches.Slow.Std()
+	s.mu.Unlock()
+	sleep(slow/2, r.Context().Done())
+	switch status {
+	case http.StatusOK:
+		writeJSON(w, status, v)
+	case http.StatusNotModified:
+		w.WriteHeader(status)
+	default:
+		writeError(w, status, "key %s", key)
+	}
+}
+
+// await returns the value of key, waiting until its version differs from known.
+func (s *Store) await(r *http.Request, key string, hasKnown bool, known int64, wait time.Duration) (storeValue, int) {
+	deadline := time.Now().Add(wait)
+	for {
+		now := time.Now()
+		s.mu.Lock()
+		s.expire(now)
+		v, ok := s.keys[key]
+		changed, next := s.changes.wait(), s.nextExpiry(deadline)
+		down := s.switches.Down
+		s.mu.Unlock()
+		switch {
+		case down:
+			return storeValue{}, http.StatusServiceUnavailable
+		case !hasKnown && !ok, hasKnown && !ok && known != 0:
+			return storeValue{}, http.StatusNotFound
+		case !hasKnown || v.Version != known:
+			return v, http.StatusOK
+		case !now.Before(deadline):
+			return storeValue{}, http.StatusNotModified
+		}
+		t := time.NewTimer(next.Sub(now))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-r.Context().Done():
+			t.Stop()
+			return storeValue{}, http.StatusNotModified
+		}
+		t.Stop()
+	}
+}
+
+func (s *Store) nextExpiry(deadline time.Time) time.Time {
+	for _, l := range s.leases {
+		if l.expires.Before(deadline) {
+			deadline = l.expires
+		}
+	}
+	return deadline
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, key string) {
+	if !s.admit(w, "Put", true) {
+		return
+	}
+	var body struct {
+		Data   []byte
+		Expect int64
+		Lease  string
+	}
+	if err := decode(r.Body, &body); err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	version, status := s.apply(key, body.Data, body.Expect, body.Lease)
+	s.answerWrite(w, status, struct{ Version int64 }{version})
+}
+
+func (s *Store) apply(key string, data []byte, expect int64, lease string) (int64, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	if len(data) > MaxValue {
+		return 0, http.StatusRequestEntityTooLarge
+	}
+	if lease != "" && s.leases[lease] == nil {
+		return 0, http.StatusGone
+	}
+	if s.keys[key].Version != expect {
+		return s.keys[key].Version, http.StatusConflict
+	}
+	if s.keys == nil {
+		s.keys = map[string]storeValue{}
+	}
+	s.version++
+	s.keys[key] = storeValue{Data: data, Version: s.version, lease: lease}
+	s.stats.LargestValue = max(s.stats.LargestValue, len(data))
+	s.changes.wake()
+	return s.version, http.StatusOK
+}
+
+func (s *Store) remove(w http.ResponseWriter, r *http.Request, key string) {
+	if !s.admit(w, "Delete", true) {
+		return
+	}
+	expect, err := strconv.ParseInt(r.URL.Query().Get("expect"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "expect: %v", err)
+		return
+	}
+	s.answerWrite(w, s.applyRemove(key, expect), struct{}{})
+}
+
+func (s *Store) applyRemove(key string, expect int64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	v, ok := s.keys[key]
+	if !ok {
+		return http.StatusNotFound
+	}
+	if v.Version != expect {
+		return http.StatusConflict
+	}
+	delete(s.keys, key)
+	s.version++
+	s.changes.wake()
+	return http.StatusOK
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, "List", false) {
+		return
+	}
+	prefix := r.URL.Query().Get("prefix")
+	items := map[string]storeValue{}
+	s.mu.Lock()
+	s.expire(time.Now())
+	for k, v := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			items[k] = v
+		}
+	}
+	slow := s.switches.Slow.Std()
+	s.mu.Unlock()
+	time.Sleep(slow / 2)
+	writeJSON(w, http.StatusOK, struct{ Items map[string]storeValue }{items})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, "GrantLease", true) {
+		return
+	}
+	var body struct{ TTL descriptor.Duration }
+	if err := decode(r.Body, &body); err != nil || body.TTL <= 0 {
+		writeError(w, http.StatusBadRequest, "TTL must be above 0: %v", err)
+		return
+	}
+	s.mu.Lock()
+	s.nextID++
+	id := fmt.Sprintf("L%d", s.nextID)
+	if s.leases == nil {
+		s.leases = map[string]*storeLease{}
+	}
+	s.leases[id] = &storeLease{ttl: body.TTL.Std(), expires: time.Now().Add(body.TTL.Std())}
+	s.mu.Unlock()
+	s.answerWrite(w, http.StatusOK, struct{ Lease string }{id})
+}
+
+func (s *Store) renew(w http.ResponseWriter, id string) {
+	if !s.admit(w, "RenewLease", true) {
+		return
+	}
+	status := http.StatusNotFound
+	s.mu.Lock()
+	now := time.Now()
+	s.expire(now)
+	if l := s.leases[id]; l != nil {
+		l.expires = now.Add(l.ttl)
+		status = http.StatusOK
+	}
+	s.mu.Unlock()
+	s.answerWrite(w, status, struct{}{})
+}
+
+func (s *Store) revoke(w http.ResponseWriter, id string) {
+	if !s.admit(w, "RevokeLease", true) {
+		return
+	}
+	s.mu.Lock()
+	s.dropLease(id)
+	s.mu.Unlock()
+	s.answerWrite(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/internal/faker/worker.go
@@ -0,0 +1,551 @@
+package faker
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	// failAfter is how long a task runs on a worker that fails everything.
+	failAfter = 20 * time.Millisecond
+	// checkpointTime is how long a checkpoint takes.
+	checkpointTime = 10 * time.Millisecond
+	// endedRetention is how long an ended task stays in the list of tasks.
+	endedRetention = 10 * time.Minute
+)
+
+// TaskState is the state of a task on a worker.
+type TaskState string
+
+// States of a task on a worker.
+const (
+	TaskRunning TaskState = "Running"
+	TaskDone    TaskState = "Done"
+	TaskFailed  TaskState = "Failed"
+	TaskStopped TaskState = "Stopped"
+)
+
+// TaskStart is the body of PUT /tasks/ID.
+type TaskStart struct {
+	Key     descriptor.JobKey
+	Attempt descriptor.Attempt
+	// Index of the task in its gang.
+	Index int
+	// Members is the number of workers that take part in the gang.
+	Members   int
+	Resources descriptor.Resources
+	// AcceleratorIndexes are the accelerators to use, as many as in Resources.
+	AcceleratorIndexes []int
+	// Lease is how long the task runs without a renewal.
+	Lease descriptor.Duration
+	// NotAfter is the last moment at which the task may start.
+	NotAfter time.Time
+	RunTime  descriptor.Duration
+	Payload  []byte
+}
+
+// TaskPayload are the fields of a payload that direct the stand-in; a payload that is not JSON has none.
+type TaskPayload struct {
+	// RunTime is the real run time when the declared one is off.
+	RunTime descriptor.Duration `json:",omitempty"`
+	// Fail makes the task end as failed after its run time.
+	Fail bool `json:",omitempty"`
+	// Cores and Memory are what the task really uses, when not what it declares.
+	Cores  descriptor.Cores     `json:",omitempty"`
+	Memory descriptor.Megabytes `json:",omitempty"`
+}
+
+// TaskStatus is an item of GET /tasks.
+type TaskStatus struct {
+	ID                 string
+	Key                descriptor.JobKey
+	Attempt            descriptor.Attempt
+	Index, Members     int
+	State              TaskState
+	Cause              string
+	Usage              descriptor.Resources
+	StartedAt          time.Time
+	EndedAt            time.Time
+	Resources          descriptor.Resources
+	AcceleratorIndexes []int
+	Checkpoints        int
+}
+
+// WorkerSwitches are the faults of a Worker.
+type WorkerSwitches struct {
+	// FailEverything makes every task fail soon after its start.
+	FailEverything bool
+	// Frozen leaves all calls but those under /admin/ without an answer; tasks go on and leases lapse.
+	Frozen bool
+	// Lag is how old the measured usage is.
+	Lag descriptor.Duration
+}
+
+// WorkerStats are the counters of a Worker.
+type WorkerStats struct {
+	// Calls by method and kind of path.
+	Calls map[string]int64
+	// Starts were accepted; Late were refused after NotAfter, Full without free resources.
+	Starts, Repeated, Late, Full int64
+	// Lapsed tasks were stopped because their lease lapsed.
+	Lapsed int64
+	Runs   []Run
+}
+
+// Worker is a stand-in for a machine of the platform. Description is set before it serves.
+type Worker struct {
+	Description descriptor.Worker
+
+	mu       sync.Mutex
+	switches WorkerSwitches
+	changes  broadcast
+	tasks    map[string]*task
+	// runs are all tasks in the order of their start, also those no longer listed.
+	runs  []*task
+	stats WorkerStats
+}
+
+// task is a started task. Its state is brought up to date whenever the worker looks at it.
+type task struct {
+	id      string
+	start   TaskStart
+	actual  descriptor.Resources
+	started time.Time
+	ended   time.Time
+	state   TaskState
+	cause   string
+	leaseTo time.Time
+	// share of its speed at which the task runs since the moment speedFrom, with left to do at full speed.
+	share       float64
+	speedFrom   time.Time
+	left        time.Duration
+	fail        bool
+	checkpoints int
+}
+
+// finishAt returns when the task ends by itself, or false when it is throttled to a halt.
+func (t *task) finishAt() (time.Time, bool) {
+	if t.share <= 0 {
+		return time.Time{}, false
+	}
+	return t.speedFrom.Add(time.Duration(float64(t.left) / t.share)), true
+}
+
+// advance applies what has happened up to now and reports whether the lease has lapsed.
+func (t *task) advance(now time.Time) (lapsed bool) {
+	if t.state != TaskRunning {
+		return false
+	}
+	finish, finite := t.finishAt()
+	if finite && !finish.After(now) && !finish.After(t.leaseTo) {
+		t.end(TaskDone, "", finish)
+		if t.fail {
+			t.state, t.cause = TaskFailed, "the task failed"
+		}
+		return false
+	}
+	if !t.leaseTo.After(now) {
+		t.end(TaskStopped, "the lease lapsed", t.leaseTo)
+		return true
+	}
+	return false
+}
+
+func (t *task) end(state TaskState, cause string, at time.Time) {
+	t.state, t.cause, t.ended = state, cause, at
+}
+
+func (t *task) throttle(share float64, now time.Time) {
+	t.left = max(0, t.left-time.Duration(float64(now.Sub(t.speedFrom))*t.share))
+	t.share, t.speedFrom = share, now
+}
+
+// usedAt returns what the task used at a moment.
+func (t *task) usedAt(at time.Time) descriptor.Resources {
+	if t.started.After(at) || !t.ended.IsZero() && !t.ended.After(at) {
+		return descriptor.Resources{}
+	}
+	r := t.actual
+	r.Cores *= descriptor.Cores(t.share)
+	return r
+}
+
+func add(a, b descriptor.Resources) descriptor.Resources {
+	return descriptor.Resources{Cores: a.Cores + b.Cores, Memory: a.Memory + b.Memory, Accelerators: a.Accelerators + b.Accelerators}
+}
+
+// Switch changes the switches.
+func (w *Worker) Switch(change func(*WorkerSwitches)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(&w.switches)
+	w.changes.wake()
+}
+
+// Runs returns all runs of the worker.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(time.Now())
+	runs := make([]Run, 0, len(w.runs))
+	for _, t := range w.runs {
+		runs = append(runs, Run{
+			Task: t.id, Key: t.start.Key, Attempt: t.start.Attempt, Index: t.start.Index, Members: t.start.Members,
+			Worker: w.Description.ID, FailureDomain: w.Description.FailureDomain,
+			StartedAt: t.started, EndedAt: t.ended, State: t.state, Cause: t.cause,
+		})
+	}
+	return runs
+}
+
+// Stats returns a copy of the counters.
+func (w *Worker) Stats() WorkerStats {
+	runs := w.Runs()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	st := w.stats
+	st.Calls = maps.Clone(st.Calls)
+	st.Runs = runs
+	return st
+}
+
+// Fail stops the worker as a failed VM does: all tasks end.
+func (w *Worker) Fail() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.advance(now)
+	for _, t := range w.tasks {
+		if t.state == TaskRunning {
+			t.end(TaskStopped, "the worker failed", now)
+		}
+	}
+	clear(w.tasks)
+}
+
+// advance is called with mu held.
+func (w *Worker) advance(now time.Time) {
+	for id, t := range w.tasks {
+		if t.advance(now) {
+			w.stats.Lapsed++
+		}
+		if t.state != TaskRunning && now.Sub(t.ended) > endedRetention {
+			delete(w.tasks, id)
+		}
+	}
+}
+
+// ServeHTTP serves the protocol of a worker.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /admin/stats":
+		writeJSON(rw, http.StatusOK, w.Stats())
+		return
+	case "PUT /admin/switches":
+		w.putSwitches(rw, r)
+		return
+	}
+	if !w.awaitThaw(r) {
+		panic(http.ErrAbortHandler)
+	}
+	id, step, ok := taskPath(r.URL.Path)
+	w.count(r.Method, r.URL.Path, step, ok)
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/description":
+		writeJSON(rw, http.StatusOK, w.Description)
+	case r.Method == http.MethodGet && r.URL.Path == "/tasks":
+		writeJSON(rw, http.StatusOK, w.list())
+	case r.Method == http.MethodGet && r.URL.Path == "/usage":
+		writeJSON(rw, http.StatusOK, w.usage())
+	case ok && step == "" && r.Method == http.MethodPut:
+		w.startTask(rw, r, id)
+	case ok && step == "" && r.Method == http.MethodDelete:
+		w.change(rw, id, func(t *task, now time.Time) { t.end(TaskStopped, "stopped", now) })
+	case ok && step == "lease" && r.Method == http.MethodPost:
+		w.renew(rw, r, id)
+	case ok && step == "checkpoint" && r.Method == http.MethodPost:
+		time.Sleep(checkpointTime)
+		w.change(rw, id, func(t *task, _ time.Time) { t.checkpoints++ })
+	case ok && step == "throttle" && r.Method == http.MethodPost:
+		w.throttle(rw, r, id)
+	default:
+		writeError(rw, http.StatusNotFound, "no such path: %s %s", r.Method, r.URL.Path)
+	}
+}
+
+func taskPath(path string) (id, step string, ok bool) {
+	rest, ok := strings.CutPrefix(path, "/tasks/")
+	if !ok || rest == "" {
+		return "", "", false
+	}
+	for _, s := range []string{"lease", "checkpoint", "throttle"} {
+		if id, found := strings.CutSuffix(rest, "/"+s); found {
+			return id, s, id != ""
+		}
+	}
+	return rest, "", true
+}
+
+func (w *Worker) count(method, path, step string, isTask bool) {
+	kind := method + " " + path
+	if isTask {
+		kind = strings.TrimSuffix(method+" /tasks/ID/"+step, "/")
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stats.Calls == nil {
+		w.stats.Calls = map[string]int64{}
+	}
+	w.stats.Calls[kind]++
+}
+
+func (w *Worker) putSwitches(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	next := w.switches
+	w.mu.Unlock()
+	if err := decode(r.Body, &next); err != nil {
+		writeError(rw, http.StatusBadRequest, "%v", err)
+		return
+	}
+	w.Switch(func(s *WorkerSwitches) { *s = next })
+	writeJSON(rw, http.StatusOK, next)
+}
+
+// awaitThaw waits while the worker is frozen and reports false when the caller has gone meanwhile.
+func (w *Worker) awaitThaw(r *http.Request) bool {
+	for {
+		w.mu.Lock()
+		frozen, changed := w.switches.Frozen, w.changes.wait()
+		w.mu.Unlock()
+		if !frozen {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+}
+
+func (w *Worker) list() []TaskStatus {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.advance(now)
+	all := make([]TaskStatus, 0, len(w.tasks))
+	for id, t := range w.tasks {
+		all = append(all, TaskStatus{
+			ID: id, Key: t.start.Key, Attempt: t.start.Attempt, Index: t.start.Index, Members: t.start.Members,
+			State: t.state, Cause: t.cause, Usage: t.usedAt(now.Add(-w.switches.Lag.Std())),
+			StartedAt: t.started, EndedAt: t.ended,
+			Resources: t.start.Resources, AcceleratorIndexes: t.start.AcceleratorIndexes, Checkpoints: t.checkpoints,
+		})
+	}
+	slices.SortFunc(all, func(a, b TaskStatus) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (w *Worker) usage() descriptor.Resources {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.advance(now)
+	var sum descriptor.Resources
+	for _, t := range w.tasks {
+		sum = add(sum, t.usedAt(now.Add(-w.switches.Lag.Std())))
+	}
+	return sum
+}
+
+// Errors that refuse a start.
+var (
+	errLate = errors.New("after NotAfter")
+	errFull = errors.New("resources are not free")
+	errUsed = errors.New("another task has this id")
+)
+
+func (w *Worker) startTask(rw http.ResponseWriter, r *http.Request, id string) {
+	s, err := decodeStart(r)
+	if err != nil {
+		writeError(rw, http.StatusBadRequest, "%v", err)
+		return
+	}
+	created, err := w.begin(id, s)
+	switch {
+	case errors.Is(err, errLate):
+		writeError(rw, http.StatusGone, "%v", err)
+	case errors.Is(err, errFull):
+		writeError(rw, http.StatusInsufficientStorage, "%v", err)
+	case errors.Is(err, errUsed):
+		writeError(rw, http.StatusConflict, "%v", err)
+	case created:
+		writeJSON(rw, http.StatusCreated, struct{}{})
+	default:
+		writeJSON(rw, http.StatusOK, struct{}{})
+	}
+}
+
+func decodeStart(r *http.Request) (TaskStart, error) {
+	var s TaskStart
+	if err := decode(r.Body, &s); err != nil {
+		return s, err
+	}
+	if s.Lease <= 0 || s.NotAfter.IsZero() || s.Index < 0 || s.Members < 1 {
+		return s, fmt.Errorf("%w: want Lease above 0, NotAfter, Index from 0 and Members from 1", errBadRequest)
+	}
+	if s.RunTime < 0 || s.Resources.Cores < 0 || s.Resources.Memory < 0 {
+		return s, fmt.Errorf("%w: RunTime and Resources must not be below 0", errBadRequest)
+	}
+	if int(s.Resources.Accelerators) != len(s.AcceleratorIndexes) {
+		return s, fmt.Errorf("%w: %d accelerators, but %d indexes", errBadRequest, s.Resources.Accelerators, len(s.AcceleratorIndexes))
+	}
+	return s, nil
+}
+
+// begin starts a task and reports whether it is a new one.
+func (w *Worker) begin(id string, s TaskStart) (created bool, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.advance(now)
+	if old := w.tasks[id]; old != nil {
+		if !old.sameStart(s) {
+			return false, errUsed
+		}
+		w.stats.Repeated++
+		return false, nil
+	}
+	if now.After(s.NotAfter) {
+		w.stats.Late++
+		return false, errLate
+	}
+	if err := w.fits(s); err != nil {
+		w.stats.Full++
+		return false, err
+	}
+	if w.tasks == nil {
+		w.tasks = map[string]*task{}
+	}
+	t := w.newTask(id, s, now)
+	w.tasks[id] = t
+	w.runs = append(w.runs, t)
+	w.stats.Starts++
+	return true, nil
+}
+
+// sameStart compares what identifies the task; a repeated start may have a later NotAfter.
+func (t *task) sameStart(s TaskStart) bool {
+	return t.start.Key == s.Key && t.start.Attempt == s.Attempt && t.start.Index == s.Index &&
+		t.start.Resources == s.Resources && reflect.DeepEqual(t.start.AcceleratorIndexes, s.AcceleratorIndexes)
+}
+
+func (w *Worker) fits(s TaskStart) error {
+	used := map[int]bool{}
+	sum := s.Resources
+	for _, t := range w.tasks {
+		if t.state != TaskRunning {
+			continue
+		}
+		sum = add(sum, t.start.Resources)
+		for _, i := range t.start.AcceleratorIndexes {
+			used[i] = true
+		}
+	}
+	for _, i := range s.AcceleratorIndexes {
+		if i < 0 || i >= int(w.Description.Accelerators) || used[i] {
+			return fmt.Errorf("%w: accelerator %d", errFull, i)
+		}
+		used[i] = true
+	}
+	if sum.Cores > w.Description.Cores || sum.Memory > w.Description.Memory {
+		return fmt.Errorf("%w: cores or memory", errFull)
+	}
+	return nil
+}
+
+func (w *Worker) newTask(id string, s TaskStart, now time.Time) *task {
+	var p TaskPayload
+	if json.Unmarshal(s.Payload, &p) != nil {
+		p = TaskPayload{}
+	}
+	t := &task{
+		id: id, start: s, actual: s.Resources, started: now, state: TaskRunning, leaseTo: now.Add(s.Lease.Std()),
+		share: 1, speedFrom: now, left: s.RunTime.Std(), fail: p.Fail,
+	}
+	if p.RunTime > 0 {
+		t.left = p.RunTime.Std()
+	}
+	if w.switches.FailEverything {
+		t.fail, t.left = true, failAfter
+	}
+	if p.Cores > 0 {
+		t.actual.Cores = p.Cores
+	}
+	if p.Memory > 0 {
+		t.actual.Memory = p.Memory
+	}
+	if w.Description.Guard {
+		t.guard(now)
+	}
+	return t
+}
+
+// guard stops a task that uses more memory than it declares and throttles one that uses more cores.
+func (t *task) guard(now time.Time) {
+	if t.actual.Memory > t.start.Resources.Memory {
+		t.end(TaskStopped, "memory over the declared size", now)
+	}
+	if t.actual.Cores > t.start.Resources.Cores {
+		t.share = float64(t.start.Resources.Cores / t.actual.Cores)
+	}
+}
+
+// change applies f to a running task. An ended task is left as it is.
+func (w *Worker) change(rw http.ResponseWriter, id string, f func(*task, time.Time)) {
+	w.mu.Lock()
+	now := time.Now()
+	w.advance(now)
+	t := w.tasks[id]
+	if t != nil && t.state == TaskRunning {
+		f(t, now)
+	}
+	var state TaskState
+	if t != nil {
+		state = t.state
+	}
+	w.mu.Unlock()
+	if t == nil {
+		writeError(rw, http.StatusNotFound, "no task %s", id)
+		return
+	}
+	writeJSON(rw, http.StatusOK, struct{ State TaskState }{state})
+}
+
+func (w *Worker) renew(rw http.ResponseWriter, r *http.Request, id string) {
+	var body struct{ Lease descriptor.Duration }
+	if err := decode(r.Body, &body); err != nil || body.Lease <= 0 {
+		writeError(rw, http.StatusBadRequest, "Lease must be above 0: %v", err)
+		return
+	}
+	w.change(rw, id, func(t *task, now time.Time) { t.leaseTo = now.Add(body.Lease.Std()) })
+}
+
+func (w *Worker) throttle(rw http.ResponseWriter, r *http.Request, id string) {
+	var body struct{ Share float64 }
+	if err := decode(r.Body, &body); err != nil || body.Share < 0 || body.Share > 1 {
+		writeError(rw, http.StatusBadRequest, "Share must be from 0 to 1: %v", err)
+		return
+	}
+	w.change(rw, id, func(t *task, now time.Time) { t.throttle(body.Share, now) })
+}
--- /dev/null
+++ b/internal/keeper/http.go
@@ -0,0 +1,255 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	// callTimeout bounds each call. The store answers in milliseconds, so a later answer means a silent connection.
+	callTimeout = time.Second
+	// watchWait bounds one watch call: with callTimeout, a watch on a silent connection is repeated within 3 s,
+	// inside the 4 s in which a configuration is in force.
+	watchWait = 2 * time.Second
+	// maxAnswer bounds the answer to one call. A list of 16 full buckets in base64 takes 22 MB.
+	maxAnswer = 32 << 20
+)
+
+// NewHTTPStore returns a client of the store at baseURL.
+func NewHTTPStore(baseURL string) *Store {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 32,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return NewHTTPStoreWith(baseURL, &http.Client{Transport: transport})
+}
+
+// NewHTTPStoreWith returns a client of the store at baseURL that uses c for its calls.
+func NewHTTPStoreWith(baseURL string, c *http.Client) *Store {
+	h := &httpStore{base: baseURL, client: c}
+	s := &Store{
+		Get: h.get, Put: h.put, Delete: h.delete, List: h.list, Watch: h.watch,
+		GrantLease: h.grantLease, RenewLease: h.renewLease, RevokeLease: h.revokeLease,
+	}
+	h.store = s
+	return s
+}
+
+type httpStore struct {
+	base   string
+	client *http.Client
+	store  *Store
+}
+
+// call makes one call and returns the status and body of its answer.
+func (h *httpStore) call(ctx context.Context, kind CallKind, method, path string, request any, timeout time.Duration) (int, []byte, error) {
+	h.store.count(kind)
+	var body io.Reader
+	if request != nil {
+		data, err := json.Marshal(request)
+		if err != nil {
+			return 0, nil, err
+		}
+		body = bytes.NewReader(data)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	trace := &connectionTrace{}
+	r, err := http.NewRequestWithContext(trace.attach(callCtx), method, h.base+path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	status, data, err := h.roundTrip(r)
+	if err == nil {
+		return status, data, statusError(status)
+	}
+	if callCtx.Err() != nil && ctx.Err() == nil {
+		// A connection that went silent may be one of several; new ones work.
+		h.client.CloseIdleConnections()
+	}
+	if method == http.MethodGet || trace.neverConnected() {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
+func (h *httpStore) roundTrip(r *http.Request) (int, []byte, error) {
+	answer, err := h.client.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
+	if err != nil {
+		return 0, nil, err
+	}
+	if len(data) > maxAnswer {
+		return 0, nil, fmt.Errorf("answer over %d bytes", maxAnswer)
+	}
+	return answer.StatusCode, data, nil
+}
+
+// connectionTrace tells whether a request ever had a connection on which it could be sent.
+type connectionTrace struct{ asked, got atomic.Bool }
+
+func (t *connectionTrace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { t.asked.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { t.got.Store(true) },
+	})
+}
+
+// neverConnected is false when the transport does not report connections.
+func (t *connectionTrace) neverConnected() bool { return t.asked.Load() && !t.got.Load() }
+
+// statusError maps the answers that mean the same for every call.
+func statusError(status int) error {
+	switch {
+	case status < 300 || status == http.StatusNotModified:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusConflict:
+		return ErrConflict
+	case status == http.StatusGone:
+		return ErrLeaseLost
+	case status == http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case status == http.StatusTooManyRequests:
+		return ErrLimited
+	case status == http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	case status < 500:
+		return fmt.Errorf("the store refused the call: status %d", status)
+	}
+	return fmt.Errorf("%w: status %d", ErrOutcomeUnknown, status)
+}
+
+type valueAnswer struct {
+	Data    []byte
+	Version Version
+}
+
+func decodeValue(body []byte) ([]byte, Version, error) {
+	var a valueAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return nil, 0, fmt.Errorf("%w: answer of the store: %w", ErrUnavailable, err)
+	}
+	if a.Version <= 0 {
+		return nil, 0, fmt.Errorf("%w: answer of the store has version %d", ErrUnavailable, a.Version)
+	}
+	return a.Data, a.Version, nil
+}
+
+// keyPath escapes a key; its slashes stay.
+func keyPath(key string) string {
+	return (&url.URL{Path: "/v1/keys/" + key}).EscapedPath()
+}
+
+func (h *httpStore) get(ctx context.Context, key string) ([]byte, Version, error) {
+	_, body, err := h.call(ctx, CallGet, http.MethodGet, keyPath(key), nil, callTimeout)
+	if err != nil {
+		return nil, 0, err
+	}
+	return decodeValue(body)
+}
+
+func (h *httpStore) watch(ctx context.Context, key string, after Version) ([]byte, Version, error) {
+	path := fmt.Sprintf("%s?known=%d&wait=%s", keyPath(key), after, watchWait)
+	for {
+		status, body, err := h.call(ctx, CallWatch, http.MethodGet, path, nil, watchWait+callTimeout)
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		if status != http.StatusNotModified {
+			return decodeValue(body)
+		}
+	}
+}
+
+func (h *httpStore) put(ctx context.Context, key string, data []byte, expect Version, lease LeaseID) (Version, error) {
+	request := struct {
+		Data   []byte
+		Expect Version
+		Lease  LeaseID `json:",omitempty"`
+	}{data, expect, lease}
+	_, body, err := h.call(ctx, CallPut, http.MethodPut, keyPath(key), request, callTimeout)
+	if err != nil {
+		return 0, err
+	}
+	var answer struct{ Version Version }
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return 0, fmt.Errorf("%w: answer of the store: %w", ErrOutcomeUnknown, err)
+	}
+	return answer.Version, nil
+}
+
+func (h *httpStore) delete(ctx context.Context, key string, expect Version) error {
+	path := keyPath(key) + "?expect=" + strconv.FormatInt(int64(expect), 10)
+	_, _, err := h.call(ctx, CallDelete, http.MethodDelete, path, nil, callTimeout)
+	return err
+}
+
+func (h *httpStore) list(ctx context.Context, prefix string) (map[string][]byte, error) {
+	_, body, err := h.call(ctx, CallList, http.MethodGet, "/v1/list?prefix="+url.QueryEscape(prefix), nil, callTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return decodeList(body)
+}
+
+func decodeList(body []byte) (map[string][]byte, error) {
+	var answer struct{ Items map[string]valueAnswer }
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, fmt.Errorf("%w: answer of the store: %w", ErrUnavailable, err)
+	}
+	items := make(map[string][]byte, len(answer.Items))
+	for k, v := range answer.Items {
+		items[k] = v.Data
+	}
+	return items, nil
+}
+
+func (h *httpStore) grantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	request := struct{ TTL descriptor.Duration }{descriptor.Duration(ttl)}
+	_, body, err := h.call(ctx, CallGrantLease, http.MethodPost, "/v1/leases", request, callTimeout)
+	if err != nil {
+		return "", err
+	}
+	var answer struct{ Lease LeaseID }
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Lease == "" {
+		return "", fmt.Errorf("%w: answer of the store names no lease: %w", ErrOutcomeUnknown, err)
+	}
+	return answer.Lease, nil
+}
+
+func (h *httpStore) renewLease(ctx context.Context, id LeaseID) error {
+	_, _, err := h.call(ctx, CallRenewLease, http.MethodPost, "/v1/leases/"+url.PathEscape(string(id))+"/renew", nil, callTimeout)
+	return leaseError(err)
+}
+
+func (h *httpStore) revokeLease(ctx context.Context, id LeaseID) error {
+	_, _, err := h.call(ctx, CallRevokeLease, http.MethodDelete, "/v1/leases/"+url.PathEscape(string(id)), nil, callTimeout)
+	return leaseError(err)
+}
+
+func leaseError(err error) error {
+	if err == ErrNotFound {
+		return ErrLeaseLost
+	}
+	return err
+}
