--- a/internal/enforcer/adopt.go
+++ b/internal/enforcer/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,6 +10,11 @@
 	"persimmontrail/pkg/descriptor"
 )
 
+// AdoptAfter is how long after the start of an agent process the task list for
+// Adopt may be asked for at the earliest: until then the worker may still
+// accept a start that a former process sent. Leases are renewed meanwhile.
+const AdoptAfter = MaxPermit + 100*time.Millisecond
+
 // adoptedConfirm is the least time in which an adopted, unconfirmed gang may be confirmed.
 const adoptedConfirm = 3 * time.Second
 
@@ -27,13 +33,13 @@
 	now := e.now()
 	for _, t := range tasks {
 		n := e.attempts[t.Key].number
-		if accountable(t) && t.Attempt > n {
+		if Accountable(t) && t.Attempt > n {
 			e.attempts[t.Key] = seenAttempt{number: t.Attempt, at: now}
 		}
 	}
 	for _, t := range tasks {
-		if !accountable(t) || t.Attempt != e.attempts[t.Key].number || !e.adoptTask(t, now) {
-			e.stopStray(t)
+		if !Accountable(t) || t.Attempt != e.attempts[t.Key].number || !e.adoptTask(t, now) {
+			e.stopStray(t.ID, t.State)
 		}
 	}
 	for _, g := range e.gangs {
@@ -63,7 +69,8 @@
 	e.workerVersion = e.version
 }
 
-func accountable(t WorkerTask) bool {
+// Accountable reports whether t names the attempt that it belongs to.
+func Accountable(t WorkerTask) bool {
 	return t.Key.Workspace != "" && t.Key.Job != "" && t.Attempt > 0 && t.Index >= 0 && t.Index < descriptor.MaxGang &&
 		t.ID == taskID(t.Key, t.Attempt, t.Index)
 }
@@ -93,8 +100,9 @@
 			e.usedAccelerators[i] = true
 		}
 		a.indexes = t.AcceleratorIndexes
+		e.take(t.Resources)
 	}
-	e.take(t.Resources)
+	a.endedBefore = t.State.Ended()
 	g.tasks = append(g.tasks, a)
 	e.observeTask(g, a, t, now)
 	return true
@@ -115,28 +123,35 @@
 	e.concludeGang(g, now)
 }
 
-// stopStray stops a task that belongs to no gang. When the call fails the worker stops the task at the end of its lease.
-func (e *Enforcer) stopStray(t WorkerTask) {
-	if t.State.Ended() {
+// stopStray stops a task that belongs to no gang. A failed call is repeated when the task is observed again.
+func (e *Enforcer) stopStray(id string, state messenger.TaskState) {
+	if state.Ended() {
 		return
 	}
 	e.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
-		_ = e.Worker.Stop(ctx, t.ID)
+		_ = e.Worker.Stop(ctx, id)
 	})
 }
 
-// Observe takes the worker's task list, which was asked for at asked.
+// Observe takes the worker's task list, which was asked for at asked. Running
+// tasks that no gang accounts for are stopped.
 func (e *Enforcer) Observe(tasks []WorkerTask, asked time.Time) {
 	byID := make(map[string]WorkerTask, len(tasks))
 	for _, t := range tasks {
 		byID[t.ID] = t
 	}
+	strays := maps.Clone(byID)
 	before := e.lock()
 	defer e.unlock(before)
 	now := e.now()
 	for _, g := range e.gangs {
+		for _, t := range g.tasks {
+			if !g.state.Ended() {
+				delete(strays, t.id)
+			}
+		}
 		if g.state != messenger.TaskRunning {
 			continue
 		}
@@ -152,6 +167,9 @@
 		}
 		e.concludeGang(g, now)
 	}
+	for id, t := range strays {
+		e.stopStray(id, t.State)
+	}
 }
 
 func (e *Enforcer) observeTask(g *gang, t *task, w WorkerTask, now time.Time) {
--- a/internal/enforcer/gang.go
+++ b/internal/enforcer/gang.go
@@ -61,6 +61,8 @@
 	// gone is set when the task certainly does not run and will not.
 	gone bool
 	done bool
+	// endedBefore is set when the task had ended before its adoption: it holds no resources.
+	endedBefore bool
 	// leaseEnd is when the worker stops the task at the latest.
 	leaseEnd time.Time
 	// lateUntil is when the worker refuses the start of an unknown result: a stop before that proves nothing.
@@ -82,7 +84,12 @@
 }
 
 func (g *gang) resources() descriptor.Resources {
-	n := len(g.tasks)
+	n := 0
+	for _, t := range g.tasks {
+		if !t.endedBefore {
+			n++
+		}
+	}
 	return descriptor.Resources{
 		Cores:        descriptor.Cores(n) * g.hold.PerTask.Cores,
 		Memory:       descriptor.Megabytes(n) * g.hold.PerTask.Memory,
--- a/internal/supervisor/worker.go
+++ b/internal/supervisor/worker.go
@@ -36,6 +36,7 @@
 	a.group.Go(func() { a.every(ctx, renewEvery, a.renewLeases) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	began := time.Now()
 	adopted := false
 	for {
 		select {
@@ -44,29 +45,34 @@
 		case <-timer.C:
 		}
 		if !adopted {
-			adopted = a.adopt(ctx)
+			adopted = a.adopt(ctx, time.Since(began) >= enforcer.AdoptAfter)
 		} else {
 			a.poll(ctx)
 		}
 		next := pollIdle
-		if a.enforcer.Active() > 0 {
+		if !adopted || a.enforcer.Active() > 0 {
 			next = pollActive
 		}
 		timer.Reset(next)
 	}
 }
 
-func (a *agent) adopt(ctx context.Context) bool {
+// adopt takes over what runs on the worker when it is time, and until then renews the leases of what it finds.
+func (a *agent) adopt(ctx context.Context, due bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
-	w, err := a.worker.description(ctx)
+	list, err := a.worker.tasks(ctx)
 	if err != nil {
-		a.log.Warn("Worker does not describe itself.", "err", err)
+		a.log.Warn("Worker does not list its tasks.", "err", err)
 		return false
 	}
-	list, err := a.worker.tasks(ctx)
+	if !due {
+		a.renew(ctx, accountable(list), func(string) {})
+		return false
+	}
+	w, err := a.worker.description(ctx)
 	if err != nil {
-		a.log.Warn("Worker does not list its tasks.", "err", err)
+		a.log.Warn("Worker does not describe itself.", "err", err)
 		return false
 	}
 	a.enforcer.Adopt(w, list)
@@ -75,6 +81,16 @@
 	return true
 }
 
+func accountable(list []enforcer.WorkerTask) []string {
+	var ids []string
+	for _, t := range list {
+		if enforcer.Accountable(t) && !t.State.Ended() {
+			ids = append(ids, t.ID)
+		}
+	}
+	return ids
+}
+
 func (a *agent) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
@@ -95,15 +111,19 @@
 	a.reports.setUsage(usage)
 }
 
-// renewLeases renews all leases at the same time, so that one slow answer costs no other task its lease.
 func (a *agent) renewLeases(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
+	a.renew(ctx, a.enforcer.Leases(), a.enforcer.Renewed)
+}
+
+// renew renews all leases at the same time, so that one slow answer costs no other task its lease.
+func (a *agent) renew(ctx context.Context, ids []string, renewed func(id string)) {
 	var group sync.WaitGroup
-	for _, id := range a.enforcer.Leases() {
+	for _, id := range ids {
 		group.Go(func() {
 			if a.worker.renew(ctx, id) == nil {
-				a.enforcer.Renewed(id)
+				renewed(id)
 			}
 		})
 	}
