--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -142,6 +142,13 @@
 
 func newFlags(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
 
+// isSet reports whether a flag was given on the command line or by its environment variable.
+func isSet(f *flag.FlagSet, name string) bool {
+	set := false
+	f.Visit(func(g *flag.Flag) { set = set || g.Name == name })
+	return set
+}
+
 // logFlags are the log settings of long-running commands.
 type logFlags struct {
 	format, level string
--- a/internal/commander/server.go
+++ b/internal/commander/server.go
@@ -107,7 +107,7 @@
 		LongHelp: `Example:
   persimmontrail entry --region qc-sud --failure-domain Montreal --store http://10.0.0.5:7000 \
     --listen 10.0.0.7:7400 --http-listen 10.0.0.7:7401 \
-    --tls-authority keys/authority.pem --tls-certificate keys/entry.pem --tls-key keys/entry-key.pem
+    --tls-authority keys/authority.crt --tls-certificate keys/entry.crt --tls-key keys/entry.key
 
 SIGTERM shuts down gracefully within 30 s; a second signal stops at once.`,
 		FlagSet: f,
@@ -170,24 +170,26 @@
 		LongHelp: `Example:
   persimmontrail agent --region qc-sud --failure-domain Montreal --entries 10.0.0.7:7400 \
     --listen 10.0.1.4:7500 --worker http://127.0.0.1:7100 \
-    --tls-authority keys/authority.pem --tls-certificate keys/agent.pem --tls-key keys/agent-key.pem
+    --tls-authority keys/authority.crt --tls-certificate keys/agent.crt --tls-key keys/agent.key
 
 The endpoint beside the agent announces itself at http-listen. SIGTERM shuts down gracefully within 30 s.`,
 		FlagSet: f,
 		Exec: func(ctx context.Context, _ []string) error {
-			s.Name = uniqueName(name)
+			s.Name = name
 			s.Region = descriptor.RegionID(region)
 			s.FailureDomain = descriptor.FailureDomainID(domain)
 			s.Entries = splitList(entries)
 			reloader, keyErr := keys.load()
 			logger, logErr := p.logger(logs, "agent")
+			if keyErr == nil {
+				client := s.Connect(reloader.ServerTLS(), reloader.ClientTLS())
+				defer client.Close()
+			}
 			if err := joinFaults(s.Validate(), keyErr, logErr); err != nil {
 				return err
 			}
-			s.Log = logger
-			s.ServerTLS = reloader.ServerTLS()
-			s.ClientTLS = reloader.ClientTLS()
-			s.Ready = p.announce
+			s.Logger = logger
+			s.Ready = func(address, httpAddress string) { p.announce(httpAddress, address) }
 			return supervisor.Run(ctx, s)
 		},
 	}
--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -44,8 +44,8 @@
 }
 
 // update stores a report. It returns the complete report and false when the
-// report is older than the one held. A report without the worker description is
-// completed from the one before, or resend is set if there is none.
+// report is older than the one held. A report that is not full is completed from
+// the one before; without one, resend asks for a full report.
 func (t *agentTable) update(r messenger.Report, now time.Time) (complete messenger.Report, fresh, resend bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -55,25 +55,70 @@
 		t.changed = map[string]bool{}
 	}
 	a := t.agents[r.Agent]
-	if a != nil && r.Sequence <= a.report.Sequence {
+	switch {
+	case a == nil && !r.Full:
+		return r, false, true
+	case a != nil && r.Sequence <= a.report.Sequence:
 		return a.report, false, false
+	case a != nil && !r.Full:
+		r = mergeReports(a.report, r)
 	}
-	if r.Worker == nil && a != nil {
-		r.Worker = a.report.Worker
-	}
-	resend = a == nil && r.Sequence > 1 && r.Worker == nil
 	if a == nil {
 		a = &agentState{}
 		t.agents[r.Agent] = a
 	}
 	a.report = r
 	a.heardAt = now
-	a.replaced = false
 	t.changed[r.Agent] = true
-	if r.Worker != nil {
+	if r.Worker != nil && !a.replaced {
 		t.replaceAgentOf(r.Worker.ID, r.Agent)
 	}
-	return r, true, resend
+	return r, true, false
+}
+
+// mergeReports completes a report that holds only changes.
+func mergeReports(before, r messenger.Report) messenger.Report {
+	if r.Worker == nil {
+		r.Worker = before.Worker
+	}
+	if r.Endpoint == nil {
+		r.Endpoint = before.Endpoint
+	}
+	if r.Address == "" {
+		r.Address = before.Address
+	}
+	if r.FailureDomain == "" {
+		r.FailureDomain = before.FailureDomain
+	}
+	if r.Region == "" {
+		r.Region = before.Region
+	}
+	changed := r.Tasks
+	r.Tasks = slices.Clone(before.Tasks)
+	for _, c := range changed {
+		i := slices.IndexFunc(r.Tasks, func(o messenger.TaskReport) bool { return isSameAttempt(o.Gang, c.Gang) })
+		if i < 0 {
+			r.Tasks = append(r.Tasks, c)
+		} else {
+			r.Tasks[i] = c
+		}
+	}
+	return r
+}
+
+func isSameAttempt(a, b messenger.GangRef) bool { return a.Key == b.Key && a.Attempt == b.Attempt }
+
+// drop removes ended attempts that an agent may forget.
+func (t *agentTable) drop(agent string, refs []messenger.GangRef) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.agents[agent]
+	if a == nil || len(refs) == 0 {
+		return
+	}
+	a.report.Tasks = slices.DeleteFunc(slices.Clone(a.report.Tasks), func(o messenger.TaskReport) bool {
+		return slices.ContainsFunc(refs, func(r messenger.GangRef) bool { return isSameAttempt(o.Gang, r) })
+	})
 }
 
 func (t *agentTable) replaceAgentOf(w descriptor.WorkerID, agent string) {
--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -68,6 +68,8 @@
 	known map[descriptor.WorkerID]bool
 	// submitted holds the jobs that were handed to the core.
 	submitted map[descriptor.JobKey]bool
+	// attempted holds the jobs that had an attempt in this term.
+	attempted map[descriptor.JobKey]bool
 	// orphans are reported attempts without a gang.
 	orphans map[descriptor.JobKey]*orphan
 	// awaited are jobs that run at most once, were started in an earlier term and are not reported yet.
@@ -201,6 +203,7 @@
 		gangs:     map[descriptor.JobKey]*gang{},
 		known:     map[descriptor.WorkerID]bool{},
 		submitted: map[descriptor.JobKey]bool{},
+		attempted: map[descriptor.JobKey]bool{},
 		orphans:   map[descriptor.JobKey]*orphan{},
 		awaited:   map[descriptor.JobKey]bool{},
 		began:     now,
@@ -294,20 +297,31 @@
 			delete(t.submitted, k)
 			_ = t.core.Cancel(k, now)
 		}
-	case r.Cancelled && t.submitted[k]:
+	case r.State == keeper.JobCancelling && t.submitted[k]:
 		if err := t.core.Cancel(k, now); err != nil {
 			d.entry.log.Warn("job not cancelled", "job", k, "err", err)
 		}
 		if t.gangs[k] == nil {
-			d.end(t, k, descriptor.ResultNotRun, "cancelled before it started")
+			d.endCancelled(t, r)
 		}
-	case r.Cancelled:
-		d.end(t, k, descriptor.ResultNotRun, "cancelled before it started")
+	case r.State == keeper.JobCancelling:
+		d.endCancelled(t, r)
 	case !t.submitted[k]:
 		d.submit(t, r, now)
 	}
 }
 
+// endCancelled ends a cancelled job without an attempt. It calls it not run
+// only when no attempt is recorded and no earlier scheduler can have started it.
+func (d *schedulingDuty) endCancelled(t *termState, r keeper.JobRecord) {
+	k := r.Job.Key()
+	if r.Attempt == 0 && !t.attempted[k] && r.Accepted.After(t.began) {
+		d.end(t, k, descriptor.ResultNotRun, "cancelled before it started")
+		return
+	}
+	d.end(t, k, descriptor.ResultFailed, "cancelled")
+}
+
 func (d *schedulingDuty) submit(t *termState, r keeper.JobRecord, now time.Time) {
 	k := r.Job.Key()
 	if t.revision == 0 {
@@ -394,6 +408,7 @@
 // manage makes the scheduler responsible for an attempt.
 func (d *schedulingDuty) manage(t *termState, g *gang) {
 	t.gangs[g.ref.Key] = g
+	t.attempted[g.ref.Key] = true
 	d.mu.Lock()
 	d.attempts[g.ref.Key] = g.ref.Attempt
 	d.mu.Unlock()
@@ -413,6 +428,7 @@
 // forgetAttempt drops the attempt of a job whose end is durable.
 func (d *schedulingDuty) forgetAttempt(t *termState, k descriptor.JobKey) {
 	delete(t.awaited, k)
+	delete(t.attempted, k)
 	if t.gangs[k] != nil {
 		return
 	}
@@ -468,7 +484,7 @@
 	}
 	ref := g.ref
 	d.records.add(ref.Key, func(r *keeper.JobRecord) error {
-		if r.State == keeper.JobEnded || r.Attempt > ref.Attempt {
+		if r.State == keeper.JobEnded || r.State == keeper.JobCancelling || r.Attempt > ref.Attempt {
 			return errAlreadyEnded
 		}
 		r.State = keeper.JobRunning
@@ -507,7 +523,7 @@
 	d.dismiss(t, g)
 	t.core.Observe(g.outcome, now)
 	switch {
-	case r.Cancelled:
+	case r.State == keeper.JobCancelling:
 		d.end(t, k, descriptor.ResultFailed, "cancelled")
 	case g.job.NonIdempotent && !neverStarted:
 		_ = t.core.Cancel(k, now)
--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -18,7 +18,6 @@
 	"persimmontrail/internal/keeper"
 	"persimmontrail/internal/messenger"
 	"persimmontrail/internal/recorder"
-	"persimmontrail/pkg/descriptor"
 )
 
 // shutdownLimit bounds a graceful shutdown.
@@ -241,7 +240,8 @@
 		Epoch:     e.duty.epochSeen(),
 		Resend:    resend,
 	}
-	answer.Acknowledged = e.duty.acknowledge(r.Tasks)
+	answer.Acknowledged = e.duty.acknowledge(complete.Tasks)
+	e.agents.drop(r.Agent, answer.Acknowledged)
 	if fresh && len(r.Tasks) > 0 {
 		e.duty.wake()
 	}
--- a/internal/coordinator/gang.go
+++ b/internal/coordinator/gang.go
@@ -190,7 +190,7 @@
 func (d *schedulingDuty) claimAttempt(ctx context.Context, g *gang) error {
 	jobs := keeper.Jobs{Store: d.entry.store, Region: d.entry.settings.Region}
 	r, err := jobs.Change(ctx, g.ref.Key, func(r *keeper.JobRecord) error {
-		if r.State == keeper.JobEnded || r.Cancelled {
+		if r.State == keeper.JobEnded || r.State == keeper.JobCancelling {
 			return errAlreadyEnded
 		}
 		if r.State == keeper.JobRunning && (r.Attempt != g.ref.Attempt || r.Epoch != g.ref.Epoch) {
--- a/internal/coordinator/jobapi.go
+++ b/internal/coordinator/jobapi.go
@@ -24,14 +24,13 @@
 	Accepted  time.Time
 	State     keeper.JobState
 	Attempt   descriptor.Attempt `json:",omitempty"`
-	Cancelled bool               `json:",omitempty"`
 	Result    descriptor.Result  `json:",omitempty"`
 	Reason    string             `json:",omitempty"`
 	EndedAt   *time.Time         `json:",omitempty"`
 }
 
 func viewOf(r keeper.JobRecord) JobView {
-	v := JobView{Job: r.Job, Accepted: r.Accepted, State: r.State, Attempt: r.Attempt, Cancelled: r.Cancelled, Result: r.Result, Reason: r.Reason}
+	v := JobView{Job: r.Job, Accepted: r.Accepted, State: r.State, Attempt: r.Attempt, Result: r.Result, Reason: r.Reason}
 	if !r.EndedAt.IsZero() {
 		v.EndedAt = &r.EndedAt
 	}
@@ -112,9 +111,9 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	jobs := keeper.Jobs{Store: e.store, Region: job.Region}
-	record, err := jobs.Accept(ctx, keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobWaiting})
+	record, err := jobs.Accept(ctx, keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobQueued})
 	switch {
-	case errors.Is(err, keeper.ErrConflict):
+	case errors.Is(err, keeper.ErrJobDiffers):
 		return record, notRun(http.StatusConflict, "ID: workspace %q has another job %q", job.Workspace, job.ID)
 	case err != nil && errors.Is(err, keeper.ErrOutcomeUnknown):
 		return record, failf(http.StatusServiceUnavailable, "it is not known whether the job was recorded, repeat the call with the same ID: %v", err)
@@ -131,7 +130,7 @@
 	change := messenger.JobChanged{
 		Job:       record.Job,
 		Accepted:  record.Accepted,
-		Cancelled: record.Cancelled,
+		Cancelled: record.State == keeper.JobCancelling,
 		Ended:     record.State == keeper.JobEnded,
 		Result:    record.Result,
 		Reason:    record.Reason,
@@ -153,12 +152,15 @@
 }
 
 func (e *Entry) handleJobChanged(c messenger.JobChanged) (any, error) {
-	record := keeper.JobRecord{Job: c.Job, Accepted: c.Accepted, State: keeper.JobWaiting, Cancelled: c.Cancelled}
+	record := keeper.JobRecord{Job: c.Job, Accepted: c.Accepted, State: keeper.JobQueued}
 	if before, ok := e.jobs.get(c.Job.Key()); ok {
 		record.State = before.State
 		record.Attempt = before.Attempt
 		record.Epoch = before.Epoch
 	}
+	if c.Cancelled {
+		record.State = keeper.JobCancelling
+	}
 	if c.Ended {
 		record.State = keeper.JobEnded
 		record.Result = c.Result
@@ -237,7 +239,7 @@
 		if r.State == keeper.JobEnded {
 			return errAlreadyEnded
 		}
-		r.Cancelled = true
+		r.State = keeper.JobCancelling
 		return nil
 	})
 	if errors.Is(err, errAlreadyEnded) {
--- a/internal/coordinator/jobs.go
+++ b/internal/coordinator/jobs.go
@@ -87,8 +87,8 @@
 	if a.State == keeper.JobEnded || b.State == keeper.JobEnded {
 		return b.State != keeper.JobEnded
 	}
-	if a.Cancelled != b.Cancelled {
-		return a.Cancelled
+	if a.State == keeper.JobCancelling || b.State == keeper.JobCancelling {
+		return b.State != keeper.JobCancelling
 	}
 	return a.Attempt > b.Attempt || a.Attempt == b.Attempt && a.State != b.State
 }
--- a/internal/coordinator/operators.go
+++ b/internal/coordinator/operators.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		cfg = e.basis.configuration()
 	}
-	if cfg == nil {
+	if cfg == nil || cfg.Revision == 0 {
 		return nil, failf(http.StatusNotFound, "no configuration has been accepted yet")
 	}
 	return cfg, nil
@@ -90,7 +90,7 @@
 // describeRace says who was faster and what differs.
 func (e *Entry) describeRace(ctx context.Context, base descriptor.Revision, next *descriptor.Configuration) string {
 	current, err := e.configurations.Read(ctx)
-	if err != nil || current == nil {
+	if err != nil {
 		return fmt.Sprintf("the configuration is no longer at revision %d", base)
 	}
 	return fmt.Sprintf("the configuration is at revision %d, accepted from %s at %s, and the change is based on revision %d; these parts differ: %s",
@@ -214,7 +214,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if current == nil {
+	if current.Revision == 0 {
 		return nil, failf(http.StatusNotFound, "no configuration has been accepted yet")
 	}
 	i := slices.IndexFunc(current.FailureDomains, func(d descriptor.FailureDomain) bool { return d.Name == name })
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -68,7 +68,7 @@
 		return
 	}
 	e.basis.storeRead(began)
-	if cfg == nil {
+	if cfg.Revision == 0 {
 		return
 	}
 	e.adopt(cfg)
@@ -127,7 +127,7 @@
 	if left {
 		return
 	}
-	roster, err := keeper.Update(ctx, p.entry.store, registrar.Key, 0, registrar.Renew(self, remembered, began))
+	roster, err := keeper.Update(ctx, p.entry.store, registrar.Key, "", registrar.Renew(self, remembered, began))
 	if err != nil {
 		p.entry.metrics.Count("store_errors_total", "call", "roster")
 		return
@@ -149,7 +149,7 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	if _, err := keeper.Update(ctx, p.entry.store, registrar.Key, 0, registrar.Leave(p.entry.settings.Name)); err != nil {
+	if _, err := keeper.Update(ctx, p.entry.store, registrar.Key, "", registrar.Leave(p.entry.settings.Name)); err != nil {
 		p.entry.log.Warn("roster still lists this entry", "err", err)
 	}
 }
@@ -211,7 +211,10 @@
 	if m.Configuration != nil {
 		p.entry.adopt(m.Configuration)
 	}
-	p.entry.duty.observeEpoch(m.Epoch)
+	if m.Region == p.entry.settings.Region {
+		// Each region counts its epochs on its own.
+		p.entry.duty.observeEpoch(m.Epoch)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.heard == nil {
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"persimmontrail/internal/dispatcher"
@@ -108,11 +109,12 @@
 func (e *Entry) attempt(ctx context.Context, choice dispatcher.Choice, request descriptor.Request, class descriptor.Class, deadline time.Time) (messenger.ServeAnswer, *attemptError) {
 	began := e.now()
 	serve := messenger.Serve{Agent: choice.Agent, Request: request, NonIdempotent: class.NonIdempotent, Deadline: deadline.Sub(began)}
+	sent := keeper.ClaimRecord{Workspace: request.Workspace, ID: request.ID, Agent: choice.Agent, Address: choice.Address, ClaimedAt: began}
 	var a messenger.ServeAnswer
 	err := e.call(ctx, choice.Address, messenger.KindServe, serve, &a)
 	if err != nil && !errors.Is(err, messenger.ErrNotSent) && ctx.Err() == nil {
 		e.metrics.Count("request_outcome_queries_total", "class", string(class.Name))
-		a, err = e.askOutcome(ctx, choice.Agent, choice.Address, request.Workspace, request.ID, deadline.Sub(e.now()))
+		a, err = e.askOutcome(ctx, sent, deadline.Sub(e.now()))
 	}
 	switch {
 	case errors.Is(err, messenger.ErrNotSent):
@@ -138,14 +140,14 @@
 	}
 }
 
-// askOutcome asks an agent what became of a request. A second question is
+// askOutcome asks the agent of a claim what became of its request. A second question is
 // asked on a new connection if the first connection went silent.
-func (e *Entry) askOutcome(ctx context.Context, agent, address string, w descriptor.WorkspaceID, id descriptor.RequestID, wait time.Duration) (messenger.ServeAnswer, error) {
+func (e *Entry) askOutcome(ctx context.Context, q keeper.ClaimRecord, wait time.Duration) (messenger.ServeAnswer, error) {
 	var a messenger.ServeAnswer
 	var err error
 	for range 2 {
-		query := messenger.OutcomeQuery{Agent: agent, Workspace: w, Request: id, Wait: wait}
-		if err = e.call(ctx, address, messenger.KindOutcome, query, &a); err == nil {
+		query := messenger.OutcomeQuery{Agent: q.Agent, Workspace: q.Workspace, Request: q.ID, Wait: wait, Age: e.now().Sub(q.ClaimedAt)}
+		if err = e.call(ctx, q.Address, messenger.KindOutcome, query, &a); err == nil {
 			return a, nil
 		}
 		if ctx.Err() != nil {
@@ -167,8 +169,8 @@
 	}
 	claim := keeper.ClaimRecord{
 		Workspace: request.Workspace,
-		Request:   request.ID,
-		Entry:     e.settings.Name,
+		ID:        request.ID,
+		Owner:     fmt.Sprintf("%s-%d", e.settings.Name, e.writes.Add(1)),
 		Agent:     choice.Agent,
 		Address:   choice.Address,
 		ClaimedAt: e.now(),
@@ -190,7 +192,7 @@
 	case a.Result != descriptor.ResultFailed:
 		a = messenger.ServeAnswer{Result: descriptor.ResultUnknown, Reason: failure.reason}
 	}
-	e.finishClaim(request, a)
+	e.finishClaim(claim, a)
 	return a
 }
 
@@ -215,31 +217,31 @@
 func (e *Entry) resolveClaim(ctx context.Context, c keeper.ClaimRecord, wait time.Duration) messenger.ServeAnswer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(wait, 0)+outcomeTimeout)
 	defer cancel()
-	a, err := e.askOutcome(ctx, c.Agent, c.Address, c.Workspace, c.Request, max(wait, 0))
-	a.Request = c.Request
+	a, err := e.askOutcome(ctx, c, max(wait, 0))
+	a.Request = c.ID
 	switch {
 	case err != nil && c.Result != "":
-		return messenger.ServeAnswer{Request: c.Request, Result: c.Result, Reason: c.Reason}
+		return messenger.ServeAnswer{Request: c.ID, Result: c.Result, Reason: c.Reason}
 	case err != nil:
-		return messenger.ServeAnswer{Request: c.Request, Result: descriptor.ResultUnknown, Reason: "the request was claimed and its agent does not answer: " + err.Error()}
+		return messenger.ServeAnswer{Request: c.ID, Result: descriptor.ResultUnknown, Reason: "the request was claimed and its agent does not answer: " + err.Error()}
 	case a.Running:
 		a.Result = descriptor.ResultUnknown
 		a.Reason = "the request is running"
 		return a
 	}
-	e.finishClaim(descriptor.Request{ID: c.Request, Workspace: c.Workspace}, a)
+	e.finishClaim(c, a)
 	return a
 }
 
 // finishClaim records the outcome. It is not needed for safety, so the caller does not wait for it.
-func (e *Entry) finishClaim(request descriptor.Request, a messenger.ServeAnswer) {
+func (e *Entry) finishClaim(c keeper.ClaimRecord, a messenger.ServeAnswer) {
 	if a.Result == descriptor.ResultUnknown {
 		return
 	}
 	e.serving.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 		defer cancel()
-		if err := e.claims.Finish(ctx, request.Workspace, request.ID, a.Result, a.Reason); err != nil {
+		if err := e.claims.Finish(ctx, c.Workspace, c.ID, c.Owner, a.Result, a.Reason); err != nil {
 			e.metrics.Count("store_errors_total", "call", "claim outcome")
 		}
 	})
--- a/internal/keeper/claims.go
+++ b/internal/keeper/claims.go
@@ -25,6 +25,9 @@
 	// Owner is unique for each try of an entry to run the request; the same Owner may repeat a claim.
 	Owner     string
 	ClaimedAt time.Time
+	// Agent and Address name the run of an agent that alone may run the request.
+	Agent   string
+	Address string
 	// Result is empty until the outcome was recorded.
 	Result     descriptor.Result `json:",omitempty"`
 	Reason     string            `json:",omitempty"`
@@ -61,7 +64,7 @@
 	return fmt.Sprintf("claims/%02d", bucketOf(name, claimBuckets))
 }
 
-// Claim records that r.Owner runs the request. mine reports whether the claim is r.Owner's; existing is the claim that
+// Claim records that r.Owner runs the request. A claim that ended as NotRun gives way to a new one. mine reports whether the claim is r.Owner's; existing is the claim that
 // holds. After an error that is not ErrOutcomeUnknown no claim was made.
 func (c Claims) Claim(ctx context.Context, r ClaimRecord) (existing ClaimRecord, mine bool, err error) {
 	if r.Owner == "" {
@@ -73,7 +76,7 @@
 	name := claimName(r.Workspace, r.ID)
 	_, err = update(ctx, c.Store, claimDocument(name), "", growthLimit, func(b *claimBucket) (bool, error) {
 		b.deleteOld(time.Now())
-		if old, ok := b.Claims[name]; ok {
+		if old, ok := b.Claims[name]; ok && (old.Result != descriptor.ResultNotRun || old.Owner == r.Owner) {
 			existing = old
 			return false, nil
 		}
@@ -90,15 +93,16 @@
 	return existing, existing.Owner == r.Owner, nil
 }
 
-// Finish records the outcome of a claimed request. The first known outcome stays; ResultUnknown may be replaced.
-func (c Claims) Finish(ctx context.Context, ws descriptor.WorkspaceID, id descriptor.RequestID, result descriptor.Result, reason string) error {
+// Finish records the outcome of a request that owner claimed. The first known outcome stays; ResultUnknown may be
+// replaced. The outcome of an earlier claim must not end a later one, so it is dropped when owner holds no claim.
+func (c Claims) Finish(ctx context.Context, ws descriptor.WorkspaceID, id descriptor.RequestID, owner string, result descriptor.Result, reason string) error {
 	name := claimName(ws, id)
 	_, err := update(ctx, c.Store, claimDocument(name), "", MaxDocument, func(b *claimBucket) (bool, error) {
 		r, ok := b.Claims[name]
 		if !ok {
 			return false, fmt.Errorf("%w: claim %s", ErrNotFound, name)
 		}
-		if r.Resolved() || r.Result == result {
+		if r.Owner != owner || r.Resolved() || r.Result == result {
 			return false, nil
 		}
 		r.Result, r.Reason, r.FinishedAt = result, reason, time.Now().UTC()
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -193,8 +193,6 @@
 
 // OutcomeQuery asks an agent what became of a request. The agent promises never to start a request that it calls NotRun.
 type OutcomeQuery struct {
-	// Agent is the run of the agent that is meant. Another run at the same address cannot know and answers Unknown.
-	Agent     string
 	Workspace descriptor.WorkspaceID
 	Request   descriptor.RequestID
 	// Wait is how long to wait for a request that is running.
