--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -306,7 +306,7 @@
 func (p *peer) dial(done chan struct{}) {
 	q, err := p.dialQUIC()
 	var t *tcpConn
-	if isTimeout(err) {
+	if isBlocked(err) {
 		t, err = p.dialTCP(context.Background())
 	}
 	p.mu.Lock()
@@ -322,19 +322,29 @@
 			t.close()
 		}
 	}
-	p.failure = err
 	if err != nil {
-		p.failures++
-		p.notBefore = time.Now().Add(backoff(p.failures))
-		p.tcpUntil = time.Time{}
+		p.failed(err)
 		return
 	}
-	p.failures, p.notBefore, p.tcpUntil = 0, time.Time{}, time.Time{}
-	p.quic = q
+	p.failures, p.failure, p.notBefore, p.tcpUntil = 0, nil, time.Time{}, time.Time{}
 	if t != nil {
 		p.tcp = append(p.tcp, t)
 		p.tcpUntil = time.Now().Add(quicRetryAfter)
+		return
+	}
+	p.quic = q
+	for _, idle := range p.tcp {
+		idle.close()
 	}
+	p.tcp = nil
+}
+
+// failed starts or extends the back-off. The next dial tries QUIC first.
+func (p *peer) failed(err error) {
+	p.failures++
+	p.failure = err
+	p.notBefore = time.Now().Add(backoff(p.failures))
+	p.tcpUntil = time.Time{}
 }
 
 // backoff returns the wait after a number of consecutive failures.
--- a/internal/messenger/client_quic.go
+++ b/internal/messenger/client_quic.go
@@ -40,10 +40,14 @@
 	return &quicConn{peer: p, conn: conn}, nil
 }
 
-// isTimeout reports whether a QUIC handshake got no answer, as opposed to a refusal.
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+// isBlocked reports whether a QUIC handshake got no answer, as opposed to a refusal by either side.
+func isBlocked(err error) bool {
+	var transport *quic.TransportError
+	var app *quic.ApplicationError
+	var version *quic.VersionNegotiationError
+	var resolve *net.DNSError
+	refused := errors.As(err, &transport) || errors.As(err, &app) || errors.As(err, &version) || errors.As(err, &resolve)
+	return err != nil && !refused
 }
 
 func (q *quicConn) call(ctx context.Context, kind Kind, message []byte) ([]byte, error) {
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -20,6 +20,8 @@
 const (
 	// DefaultMaxCalls bounds the running calls of a Server that sets no limit.
 	DefaultMaxCalls = 4096
+	// handshakeTimeout bounds how long a server keeps a connection whose handshake makes no progress.
+	handshakeTimeout = 5 * time.Second
 	// transferTimeout bounds how long the rest of a request and the confirmation of an answer may take.
 	// 4 MiB take about 1 s on an idle link of 30 Mbit/s.
 	transferTimeout = 30 * time.Second
@@ -55,6 +57,7 @@
 	// Group, if set, maps a peer address to the name under which BytesByGroup counts its traffic.
 	Group func(address string) string
 
+	tls       *tls.Config
 	transport *quic.Transport
 	quic      *quic.Listener
 	tcp       net.Listener
@@ -70,6 +73,8 @@
 	closed   bool
 	// idle is closed when draining is set and calls is 0.
 	idle chan struct{}
+	// done is closed when all connections are closed.
+	done chan struct{}
 }
 
 // Listen opens the sockets.
@@ -81,21 +86,22 @@
 	if err != nil {
 		return err
 	}
-	c := protocolTLS(s.TLS)
+	s.tls = protocolTLS(s.TLS)
 	s.transport = &quic.Transport{Conn: udp}
-	s.quic, err = s.transport.Listen(c, quicConfig())
+	s.quic, err = s.transport.Listen(s.tls, quicConfig())
 	if err != nil {
 		return errors.Join(err, tcp.Close(), udp.Close())
 	}
-	s.tcp = tls.NewListener(tcp, c)
+	s.tcp = tcp
 	s.connections = make(map[any]func(bool))
 	s.idle = make(chan struct{})
+	s.done = make(chan struct{})
 	return nil
 }
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:           5 * time.Second,
+		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 quicIdleTimeout,
 		InitialStreamReceiveWindow:     128 << 10,
 		MaxStreamReceiveWindow:         MaxMessageSize,
@@ -141,7 +147,8 @@
 	return s.counter.byGroup()
 }
 
-// Serve accepts connections until ctx ends or the server is shut down. When ctx ends, it closes all connections and with them the running calls.
+// Serve accepts connections until ctx ends or the server is shut down, and returns when all connections are closed.
+// When ctx ends, it closes them at once, which cancels the running calls.
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.close(false) })
 	defer stop()
@@ -149,6 +156,7 @@
 	wg.Go(s.acceptTCP)
 	wg.Go(s.acceptQUIC)
 	wg.Wait()
+	<-s.done
 	return ctx.Err()
 }
 
@@ -204,6 +212,7 @@
 	wg.Wait()
 	s.transport.Close()
 	s.transport.Conn.Close()
+	close(s.done)
 }
 
 // track registers a connection. It returns false when the server is closed.
--- a/internal/messenger/transport_test.go
+++ b/internal/messenger/transport_test.go
@@ -3,13 +3,20 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"persimmontrail/internal/issuer"
 	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
 )
 
 func authority(t testing.TB) *issuer.Authority {
@@ -58,18 +65,302 @@
 	return messenger.ServeAnswer{Request: v.Request.ID, Reason: from.Name, Body: v.Request.Body}, nil
 }
 
-// Guards against answers that differ from what the handler returned and against a lost identity.
+// paths runs a test over QUIC and, with UDP blocked, over TCP. The address leads through a relay to the server.
+func paths(t *testing.T, test func(t *testing.T, r *relay, c *messenger.Client, a *issuer.Authority), h messenger.Handler) {
+	for _, tcp := range []bool{false, true} {
+		t.Run(map[bool]string{false: "QUIC", true: "TCP"}[tcp], func(t *testing.T) {
+			a := authority(t)
+			r := newRelay(t, serve(t, a, h).Addr())
+			r.udpBlocked.Store(tcp)
+			c := client(t, a)
+			test(t, r, c, a)
+			assert.Equal(t, c.UsesQUIC(r.addr()), !tcp)
+		})
+	}
+}
+
+func request(id string, size int) messenger.Serve {
+	var q messenger.Serve
+	q.Request.ID = descriptor.RequestID(id)
+	q.Request.Body = bytes.Repeat([]byte{7}, size)
+	return q
+}
+
+// Guards against answers that differ from what the handler returned, a lost identity, and uncounted bytes.
 func TestCallIsAnswered(t *testing.T) {
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
+		c.Group = func(string) string { return "link" }
+		q := request("r1", 3<<20)
+		var v messenger.ServeAnswer
+		assert.NilError(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindServe, q, &v))
+		assert.Equal(t, v.Request, q.Request.ID)
+		assert.Equal(t, v.Reason, "entry-1")
+		assert.Assert(t, bytes.Equal(v.Body, q.Request.Body))
+		assert.Assert(t, c.Bytes()[messenger.KindServe] > 6<<20)
+		assert.Equal(t, c.Bytes()[messenger.KindServe], c.BytesByGroup()["link"][messenger.KindServe])
+		err := c.Call(within(t, time.Second), r.addr(), messenger.KindServe, request("r2", messenger.MaxMessageSize), nil)
+		assert.ErrorIs(t, err, messenger.ErrTooLarge)
+		assert.ErrorIs(t, err, messenger.ErrNotSent)
+	}, echo)
+}
+
+// Guards against answers that reach the wrong caller: the first call is answered last.
+func TestCallsAreAnsweredCrossed(t *testing.T) {
+	const calls = 6
+	var next [calls + 1]chan struct{}
+	reset := func() {
+		for i := range next {
+			next[i] = make(chan struct{})
+		}
+		close(next[calls])
+	}
+	handle := func(ctx context.Context, from messenger.Identity, kind messenger.Kind, body []byte) (any, error) {
+		var v messenger.Serve
+		if err := messenger.Decode(body, &v); err != nil {
+			return nil, err
+		}
+		i := int(v.Deadline)
+		<-next[i+1]
+		defer close(next[i])
+		return echo(ctx, from, kind, body)
+	}
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
+		reset()
+		var wg sync.WaitGroup
+		for i := range calls {
+			wg.Go(func() {
+				q := request(string(rune('a'+i)), 1)
+				q.Deadline = time.Duration(i)
+				var v messenger.ServeAnswer
+				assert.Check(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindServe, q, &v))
+				assert.Check(t, v.Request == q.Request.ID)
+			})
+		}
+		wg.Wait()
+	}, handle)
+}
+
+// blocker is a handler whose first call waits until it is released, or its context ends; later calls answer at once.
+type blocker struct {
+	started  chan struct{}
+	release  chan struct{}
+	canceled chan struct{}
+	calls    atomic.Int32
+}
+
+func newBlocker() *blocker {
+	return &blocker{started: make(chan struct{}, 100), release: make(chan struct{}), canceled: make(chan struct{}, 100)}
+}
+
+func (b *blocker) handle(ctx context.Context, _ messenger.Identity, kind messenger.Kind, _ []byte) (any, error) {
+	b.calls.Add(1)
+	if kind != messenger.KindStart {
+		return messenger.Empty{}, nil
+	}
+	b.started <- struct{}{}
+	select {
+	case <-b.release:
+		return messenger.Empty{}, nil
+	case <-ctx.Done():
+		b.canceled <- struct{}{}
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against a call that waits forever on a silent connection, and against reuse of that connection.
+func TestSilentConnection(t *testing.T) {
+	b := newBlocker()
+	defer close(b.release)
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
+		failed := make(chan error, 1)
+		go func() { failed <- c.Call(within(t, 10*time.Second), r.addr(), messenger.KindStart, nil, nil) }()
+		<-b.started
+		at := time.Now()
+		r.silence()
+		err := <-failed
+		assert.ErrorIs(t, err, messenger.ErrSilent)
+		assert.Assert(t, !errors.Is(err, messenger.ErrNotSent))
+		assert.Assert(t, time.Since(at) < 1500*time.Millisecond, "silent after %v", time.Since(at))
+		t.Logf("silent after %v", time.Since(at))
+		assert.NilError(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil))
+	}, b.handle)
+}
+
+// Guards against heartbeats that fail a call which only takes long.
+func TestLongCallOutlastsHeartbeats(t *testing.T) {
+	handle := func(ctx context.Context, _ messenger.Identity, _ messenger.Kind, _ []byte) (any, error) {
+		_, has := ctx.Deadline()
+		assert.Check(t, has)
+		busy, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
+		defer cancel()
+		<-busy.Done()
+		return messenger.Empty{}, ctx.Err()
+	}
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
+		assert.NilError(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindStart, nil, nil))
+		assert.Assert(t, c.Bytes()[messenger.KindPing] > 0)
+	}, handle)
+}
+
+// Guards against handlers that run on after their caller has gone.
+func TestCancellationReachesHandler(t *testing.T) {
+	b := newBlocker()
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
+		ctx, cancel := context.WithCancel(within(t, 10*time.Second))
+		failed := make(chan error, 1)
+		go func() { failed <- c.Call(ctx, r.addr(), messenger.KindStart, nil, nil) }()
+		<-b.started
+		cancel()
+		assert.ErrorIs(t, <-failed, context.Canceled)
+		<-b.canceled
+	}, b.handle)
+}
+
+// Guards against an address that stays on TCP after UDP works again.
+func TestQUICIsTriedAgain(t *testing.T) {
 	a := authority(t)
-	s := serve(t, a, echo)
+	r := newRelay(t, serve(t, a, newBlocker().handle).Addr())
+	r.udpBlocked.Store(true)
 	c := client(t, a)
-	var q messenger.Serve
-	q.Request.ID = "r1"
-	q.Request.Body = make([]byte, 3<<20)
-	q.Request.Body[len(q.Request.Body)-1] = 7
-	var r messenger.ServeAnswer
-	assert.NilError(t, c.Call(within(t, 10*time.Second), s.Addr(), messenger.KindServe, q, &r))
-	assert.Equal(t, r.Request, q.Request.ID)
-	assert.Equal(t, r.Reason, "entry-1")
-	assert.Assert(t, bytes.Equal(r.Body, q.Request.Body))
+	call := func() error { return c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil) }
+	assert.NilError(t, call())
+	r.udpBlocked.Store(false)
+	assert.Assert(t, c.RetryQUIC(r.addr()))
+	assert.NilError(t, call())
+	assert.Assert(t, c.UsesQUIC(r.addr()))
+	assert.NilError(t, call())
+}
+
+// Guards against ErrNotSent on a call that may have run, and its absence where nothing was sent.
+func TestNobodyListens(t *testing.T) {
+	a := authority(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l.Close()
+	c := client(t, a)
+	for range 2 { // the second call meets the back-off
+		assert.ErrorIs(t, c.Call(within(t, 10*time.Second), l.Addr().String(), messenger.KindHold, nil, nil), messenger.ErrNotSent)
+	}
+}
+
+// Guards against handlers that run for peers with a certificate of another authority, another role or an expired one.
+func TestPeersAreVerified(t *testing.T) {
+	a := authority(t)
+	past := issuer.WithValidity(time.Now().Add(-2*time.Hour), time.Now().Add(-time.Hour))
+	cases := []struct {
+		name    string
+		issuer  *issuer.Authority
+		role    messenger.Role
+		options []issuer.Option
+	}{
+		{name: "authority", issuer: authority(t), role: messenger.RoleEntry},
+		{name: "role", issuer: a, role: issuer.RoleOperator},
+		{name: "expired", issuer: a, role: messenger.RoleEntry, options: []issuer.Option{past}},
+	}
+	b := newBlocker()
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			good, err := a.Client(messenger.RoleEntry, "entry-1")
+			assert.NilError(t, err)
+			bad, err := tc.issuer.Issue(tc.role, "other", tc.options...)
+			assert.NilError(t, err)
+			badClient := good.Clone()
+			badClient.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &bad, nil }
+			badServer, err := a.Server(messenger.RoleAgent, "agent-1")
+			assert.NilError(t, err)
+			badServer.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &bad, nil }
+			s := &messenger.Server{Address: "127.0.0.1:0", TLS: badServer, Handle: b.handle}
+			start(t, s)
+			r := newRelay(t, serve(t, a, b.handle).Addr())
+			for _, tcp := range []bool{false, true} {
+				r.udpBlocked.Store(tcp)
+				c := &messenger.Client{TLS: badClient}
+				err := c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil)
+				assert.Check(t, is.ErrorIs(err, messenger.ErrNotSent))
+				c.Close()
+			}
+			err = client(t, a).Call(within(t, 10*time.Second), s.Addr(), messenger.KindHold, nil, nil)
+			assert.Check(t, is.ErrorIs(err, messenger.ErrNotSent))
+			assert.Equal(t, b.calls.Load(), int32(0))
+		})
+	}
+}
+
+// Guards against a shutdown that cuts a running call or runs a handler after it has begun.
+func TestShutdownFinishesRunningCalls(t *testing.T) {
+	for _, tcp := range []bool{false, true} {
+		a, b := authority(t), newBlocker()
+		s := serve(t, a, b.handle)
+		r := newRelay(t, s.Addr())
+		r.udpBlocked.Store(tcp)
+		c := client(t, a)
+		answered := make(chan error, 1)
+		go func() { answered <- c.Call(within(t, 10*time.Second), r.addr(), messenger.KindStart, nil, nil) }()
+		<-b.started
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(within(t, 10*time.Second)) }()
+		var err error
+		for err == nil { // until the shutdown has begun
+			err = c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil)
+		}
+		assert.ErrorIs(t, err, messenger.ErrNotSent)
+		close(b.release)
+		assert.NilError(t, <-answered)
+		assert.NilError(t, <-stopped)
+	}
+}
+
+// Guards against a shutdown that outlasts its context.
+func TestShutdownIsBounded(t *testing.T) {
+	a, b := authority(t), newBlocker()
+	s, c := serve(t, a, b.handle), client(t, a)
+	failed := make(chan error, 1)
+	go func() { failed <- c.Call(within(t, 10*time.Second), s.Addr(), messenger.KindStart, nil, nil) }()
+	<-b.started
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.ErrorIs(t, s.Shutdown(ctx), context.Canceled)
+	err := <-failed
+	assert.ErrorIs(t, err, messenger.ErrLost)
+	assert.Assert(t, !errors.Is(err, messenger.ErrNotSent))
+}
+
+// Guards against unbounded running calls and against a refusal whose handler ran.
+func TestCallsOverLimitAreRefused(t *testing.T) {
+	b := newBlocker()
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
+		before := b.calls.Load()
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				assert.Check(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindStart, nil, nil))
+			})
+			<-b.started
+		}
+		err := c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, request("r", 1<<20), nil)
+		assert.ErrorIs(t, err, messenger.ErrRefused)
+		assert.ErrorIs(t, err, messenger.ErrNotSent)
+		assert.ErrorContains(t, err, messenger.CodeOverloaded)
+		for range 8 {
+			b.release <- struct{}{}
+		}
+		wg.Wait()
+		assert.Equal(t, b.calls.Load(), before+8)
+		assert.NilError(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil))
+	}, b.handle)
+}
+
+// Guards against a lost code or text of a handler's error.
+func TestRemoteError(t *testing.T) {
+	handle := func(context.Context, messenger.Identity, messenger.Kind, []byte) (any, error) {
+		return nil, &messenger.RemoteError{Code: "StaleEpoch", Text: "epoch 3"}
+	}
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
+		err := c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil)
+		assert.ErrorIs(t, err, messenger.ErrRemote)
+		assert.Assert(t, !errors.Is(err, messenger.ErrNotSent))
+		var re *messenger.RemoteError
+		assert.Assert(t, errors.As(err, &re))
+		assert.DeepEqual(t, re, &messenger.RemoteError{Code: "StaleEpoch", Text: "epoch 3"})
+	}, handle)
 }
