--- a/internal/issuer/reloader.go
+++ b/internal/issuer/reloader.go
@@ -48,7 +48,7 @@
 // Reloader holds keys from files and reads them again when the files change.
 type Reloader struct {
 	files Files
-	// Now is the clock; nil means time.Now.
+	// now is the clock.
 	now func() time.Time
 
 	mu      sync.Mutex
@@ -85,6 +85,14 @@
 	return clientTLS(r.get, accept)
 }
 
+// HTTPServerTLS returns a configuration for HTTPS servers whose clients need no certificate.
+func (r *Reloader) HTTPServerTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return certificate(r.get) },
+	}
+}
+
 // Err returns the error of the last reload, or nil. After an error the previous keys stay in use.
 func (r *Reloader) Err() error {
 	r.mu.Lock()
--- a/internal/messenger/bench_test.go
+++ b/internal/messenger/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"runtime"
 	"testing"
 	"time"
@@ -30,24 +31,23 @@
 }
 
 // BenchmarkIdleConnection reports the memory of both ends of one idle connection, which are in this process.
+// One client and one server share all connections, as an entry and its agents do.
 func BenchmarkIdleConnection(b *testing.B) {
 	const connections = 500
 	for b.Loop() {
 		a := authority(b)
-		s := serve(b, a, newBlocker().handle)
-		address := s.Addr()
-		clients := make([]*messenger.Client, connections)
+		s, c := serve(b, a, newBlocker().handle), client(b, a)
+		host, port, err := net.SplitHostPort(s.Addr())
+		assert.NilError(b, err)
+		assert.NilError(b, c.Call(context.Background(), s.Addr(), messenger.KindHold, nil, nil))
 		before := memory()
 		at := time.Now()
-		for i := range clients {
-			clients[i] = client(b, a)
-			assert.NilError(b, clients[i].Call(context.Background(), address, messenger.KindHold, nil, nil))
+		for range connections {
+			port = "0" + port // another name of the same address, to which the client opens another connection
+			assert.NilError(b, c.Call(context.Background(), net.JoinHostPort(host, port), messenger.KindHold, nil, nil))
 		}
 		b.ReportMetric(float64(time.Since(at).Microseconds())/connections, "µs/connect")
 		b.ReportMetric(float64(memory()-before)/connections, "B/connection")
-		for _, c := range clients {
-			c.Close()
-		}
 	}
 }
 
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,9 +53,10 @@
 
 // peer is what a client keeps for one address. It is dropped when it has been idle.
 type peer struct {
-	client  *Client
-	address string
-	group   string
+	client    *Client
+	transport *quic.Transport
+	address   string
+	group     string
 
 	mu sync.Mutex
 	// closed is set when the peer was dropped; callers then look it up again.
@@ -69,7 +72,9 @@
 	failure   error
 	// tcpUntil is set while UDP is found blocked.
 	tcpUntil time.Time
-	tcp      []*tcpConn
+	// tcp are idle connections, tcpBusy those that carry a call.
+	tcp     []*tcpConn
+	tcpBusy map[*tcpConn]bool
 }
 
 // Call sends a request and decodes the answer into answer, which may be nil. See ErrNotSent, ErrSilent, ErrLost and ErrRemote for its errors.
@@ -164,7 +169,7 @@
 	}
 	p := c.peers[address]
 	if p == nil {
-		p = &peer{client: c, address: address, group: groupOf(c.Group, address)}
+		p = &peer{client: c, transport: c.transport, address: address, group: groupOf(c.Group, address)}
 		c.peers[address] = p
 	}
 	p.mu.Lock()
@@ -234,7 +239,7 @@
 	if p.idle != nil {
 		p.idle.Stop()
 	}
-	q, pool := p.quic, p.tcp
+	q, pool := p.quic, slices.AppendSeq(p.tcp, maps.Keys(p.tcpBusy))
 	p.quic, p.tcp = nil, nil
 	p.mu.Unlock()
 	if q != nil {
--- a/internal/messenger/client_quic.go
+++ b/internal/messenger/client_quic.go
@@ -33,7 +33,7 @@
 	}
 	c := p.client.tls.Clone()
 	c.ServerName = address.IP.String()
-	conn, err := p.client.transport.Dial(ctx, address, c, quicConfig())
+	conn, err := p.transport.Dial(ctx, address, c, quicConfig())
 	if err != nil {
 		return nil, fmt.Errorf("QUIC: %w", err)
 	}
--- a/internal/messenger/client_tcp.go
+++ b/internal/messenger/client_tcp.go
@@ -144,7 +144,7 @@
 	if reusable && p.putTCP(t) {
 		return data, nil
 	}
-	t.close()
+	p.dropTCP(t)
 	if err == nil || ctx.Err() == nil {
 		return data, err
 	}
@@ -156,38 +156,76 @@
 
 // takeTCP returns an idle connection or a new one.
 func (p *peer) takeTCP(ctx context.Context) (*tcpConn, error) {
+	if t := p.idleTCP(); t != nil {
+		return t, nil
+	}
+	t, err := p.dialTCP(ctx)
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		if ctx.Err() == nil {
+			p.failed(err)
+		}
+		return nil, err
+	}
+	if p.closed {
+		t.close()
+		return nil, ErrClosed
+	}
+	p.markBusy(t)
+	return t, nil
+}
+
+// idleTCP takes an idle connection that has not ended, or returns nil.
+func (p *peer) idleTCP() *tcpConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for n := len(p.tcp); n > 0; n = len(p.tcp) {
 		t := p.tcp[n-1]
 		p.tcp = p.tcp[:n-1]
-		select {
-		case <-t.ended:
-		default:
-			p.mu.Unlock()
-			return t, nil
+		if !t.hasEnded() {
+			p.markBusy(t)
+			return t
 		}
 	}
-	p.mu.Unlock()
-	t, err := p.dialTCP(ctx)
-	if err != nil && ctx.Err() == nil {
-		p.mu.Lock()
-		p.failed(err)
-		p.mu.Unlock()
+	return nil
+}
+
+func (p *peer) markBusy(t *tcpConn) {
+	if p.tcpBusy == nil {
+		p.tcpBusy = make(map[*tcpConn]bool)
 	}
-	return t, err
+	p.tcpBusy[t] = true
 }
 
 // putTCP keeps a connection for the next call. It returns false when the connection is not needed.
 func (p *peer) putTCP(t *tcpConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.quic != nil || len(p.tcp) >= maxIdleTCP {
+	if p.closed || p.quic != nil || len(p.tcp) >= maxIdleTCP || t.hasEnded() {
 		return false
 	}
+	delete(p.tcpBusy, t)
 	p.tcp = append(p.tcp, t)
 	return true
 }
 
+func (p *peer) dropTCP(t *tcpConn) {
+	p.mu.Lock()
+	delete(p.tcpBusy, t)
+	p.mu.Unlock()
+	t.close()
+}
+
+func (t *tcpConn) hasEnded() bool {
+	select {
+	case <-t.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (t *tcpConn) call(kind Kind, message []byte) ([]byte, error) {
 	if err := frames(frameRequest, message, t.write); err != nil {
 		return nil, notSent(t.explain(err))
@@ -241,10 +279,8 @@
 
 // explain turns an error of the connection into an error of a call.
 func (t *tcpConn) explain(err error) error {
-	select {
-	case <-t.ended:
+	if t.hasEnded() {
 		err = t.err
-	default:
 	}
 	switch {
 	case errors.Is(err, errGoodbye):
--- a/internal/messenger/transport_test.go
+++ b/internal/messenger/transport_test.go
@@ -325,6 +325,23 @@
 	assert.Assert(t, !errors.Is(err, messenger.ErrNotSent))
 }
 
+// Guards against calls that outlast the client.
+func TestCloseEndsCalls(t *testing.T) {
+	b := newBlocker()
+	defer close(b.release)
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, a *issuer.Authority) {
+		other := client(t, a)
+		failed := make(chan error, 1)
+		go func() { failed <- other.Call(within(t, 10*time.Second), r.addr(), messenger.KindStart, nil, nil) }()
+		<-b.started
+		assert.NilError(t, other.Close())
+		assert.ErrorIs(t, <-failed, messenger.ErrLost)
+		<-b.canceled
+		assert.ErrorIs(t, other.Call(within(t, time.Second), r.addr(), messenger.KindHold, nil, nil), messenger.ErrClosed)
+		assert.NilError(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil))
+	}, b.handle)
+}
+
 // Guards against unbounded running calls and against a refusal whose handler ran.
 func TestCallsOverLimitAreRefused(t *testing.T) {
 	b := newBlocker()
