--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,9 +53,10 @@
 
 // peer is what a client keeps for one address. It is dropped when it has been idle.
 type peer struct {
-	client  *Client
-	address string
-	group   string
+	client    *Client
+	transport *quic.Transport
+	address   string
+	group     string
 
 	mu sync.Mutex
 	// closed is set when the peer was dropped; callers then look it up again.
@@ -69,7 +72,9 @@
 	failure   error
 	// tcpUntil is set while UDP is found blocked.
 	tcpUntil time.Time
-	tcp      []*tcpConn
+	// tcp are idle connections, tcpBusy those that carry a call.
+	tcp     []*tcpConn
+	tcpBusy map[*tcpConn]bool
 }
 
 // Call sends a request and decodes the answer into answer, which may be nil. See ErrNotSent, ErrSilent, ErrLost and ErrRemote for its errors.
@@ -164,7 +169,7 @@
 	}
 	p := c.peers[address]
 	if p == nil {
-		p = &peer{client: c, address: address, group: groupOf(c.Group, address)}
+		p = &peer{client: c, transport: c.transport, address: address, group: groupOf(c.Group, address)}
 		c.peers[address] = p
 	}
 	p.mu.Lock()
@@ -234,7 +239,7 @@
 	if p.idle != nil {
 		p.idle.Stop()
 	}
-	q, pool := p.quic, p.tcp
+	q, pool := p.quic, slices.AppendSeq(p.tcp, maps.Keys(p.tcpBusy))
 	p.quic, p.tcp = nil, nil
 	p.mu.Unlock()
 	if q != nil {
@@ -306,7 +311,7 @@
 func (p *peer) dial(done chan struct{}) {
 	q, err := p.dialQUIC()
 	var t *tcpConn
-	if isTimeout(err) {
+	if isBlocked(err) {
 		t, err = p.dialTCP(context.Background())
 	}
 	p.mu.Lock()
@@ -322,19 +327,29 @@
 			t.close()
 		}
 	}
-	p.failure = err
 	if err != nil {
-		p.failures++
-		p.notBefore = time.Now().Add(backoff(p.failures))
-		p.tcpUntil = time.Time{}
+		p.failed(err)
 		return
 	}
-	p.failures, p.notBefore, p.tcpUntil = 0, time.Time{}, time.Time{}
-	p.quic = q
+	p.failures, p.failure, p.notBefore, p.tcpUntil = 0, nil, time.Time{}, time.Time{}
 	if t != nil {
 		p.tcp = append(p.tcp, t)
 		p.tcpUntil = time.Now().Add(quicRetryAfter)
+		return
 	}
+	p.quic = q
+	for _, idle := range p.tcp {
+		idle.close()
+	}
+	p.tcp = nil
+}
+
+// failed starts or extends the back-off. The next dial tries QUIC first.
+func (p *peer) failed(err error) {
+	p.failures++
+	p.failure = err
+	p.notBefore = time.Now().Add(backoff(p.failures))
+	p.tcpUntil = time.Time{}
 }
 
 // backoff returns the wait after a number of consecutive failures.
--- a/internal/messenger/client_quic.go
+++ b/internal/messenger/client_quic.go
@@ -33,17 +33,21 @@
 	}
 	c := p.client.tls.Clone()
 	c.ServerName = address.IP.String()
-	conn, err := p.client.transport.Dial(ctx, address, c, quicConfig())
+	conn, err := p.transport.Dial(ctx, address, c, quicConfig())
 	if err != nil {
 		return nil, fmt.Errorf("QUIC: %w", err)
 	}
 	return &quicConn{peer: p, conn: conn}, nil
 }
 
-// isTimeout reports whether a QUIC handshake got no answer, as opposed to a refusal.
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+// isBlocked reports whether a QUIC handshake got no answer, as opposed to a refusal by either side.
+func isBlocked(err error) bool {
+	var transport *quic.TransportError
+	var app *quic.ApplicationError
+	var version *quic.VersionNegotiationError
+	var resolve *net.DNSError
+	refused := errors.As(err, &transport) || errors.As(err, &app) || errors.As(err, &version) || errors.As(err, &resolve)
+	return err != nil && !refused
 }
 
 func (q *quicConn) call(ctx context.Context, kind Kind, message []byte) ([]byte, error) {
