--- a/internal/supervisor/connect.go
+++ b/internal/supervisor/connect.go
@@ -3,27 +3,47 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 
+	"persimmontrail/internal/issuer"
 	"persimmontrail/internal/messenger"
 )
 
-// Connect makes the agent use the transport between the system's processes
-// with the given keys. The client is closed by the caller after Run.
+// connect sets Call and Bind to the real transport with the files in Keys where
+// they are not set. The returned function closes the client.
+func (s *Settings) connect() (func() error, error) {
+	nothing := func() error { return nil }
+	if s.Call != nil && s.Bind != nil {
+		return nothing, nil
+	}
+	keys, err := issuer.Load(s.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("field Keys: %w", err)
+	}
+	return s.Connect(keys.ServerTLS(), keys.ClientTLS(messenger.RoleEntry)).Close, nil
+}
+
+// Connect sets Call and Bind, where they are not set, to the real transport
+// with the given keys. The caller closes the returned client after Run.
 func (s *Settings) Connect(serverTLS, clientTLS *tls.Config) *messenger.Client {
 	client := &messenger.Client{TLS: clientTLS}
-	s.Call = client.Call
-	listen := s.Listen
-	s.Bind = func(handle Handle) (*MessageServer, error) { return bind(listen, serverTLS, handle) }
+	if s.Call == nil {
+		s.Call = client.Call
+	}
+	if s.Bind == nil {
+		listen := s.Listen
+		s.Bind = func(handle Handle) (*MessageServer, error) { return bind(listen, serverTLS, handle) }
+	}
 	return client
 }
 
-func bind(listen string, keys *tls.Config, handle Handle) (*MessageServer, error) {
+// bind opens the message listener. The handler checks the role, so that a peer with another role learns the reason.
+func bind(address string, keys *tls.Config, handle Handle) (*MessageServer, error) {
 	server := &messenger.Server{
-		Address: listen,
+		Address: address,
 		TLS:     keys,
 		Handle: func(ctx context.Context, from messenger.Identity, kind messenger.Kind, body []byte) (any, error) {
-			decode := func(v any) error { return messenger.Decode(body, v) }
-			return handle(ctx, string(from.Role), kind, decode)
+			return handle(ctx, from.Role, kind, func(v any) error { return messenger.Decode(body, v) })
 		},
 	}
 	if err := server.Listen(); err != nil {
