--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -208,6 +208,7 @@
 		awaited:   map[descriptor.JobKey]bool{},
 		began:     now,
 	}
+	t.core.Region = d.entry.settings.Region
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	d.running = t
 	d.mu.Lock()
@@ -370,6 +371,7 @@
 	case scheduler.DecisionReclaim, scheduler.DecisionStop:
 		g := t.gangs[c.Key]
 		if g == nil || g.ref.Attempt != c.Attempt {
+			t.core.Observe(scheduler.Event{Key: c.Key, Attempt: c.Attempt, Kind: scheduler.EventStopped, Cause: "no agent holds it"}, now)
 			return
 		}
 		event := scheduler.Event{Key: c.Key, Attempt: c.Attempt, Kind: scheduler.EventStopped, Cause: c.Reason}
--- a/internal/coordinator/jobapi.go
+++ b/internal/coordinator/jobapi.go
@@ -75,30 +75,14 @@
 	return viewOf(record), nil
 }
 
-// checkFits refuses a job that no failure domain can hold with all workers up and empty.
+// checkFits refuses a job that does not fit with all known and expected workers up and empty.
 func (e *Entry) checkFits(job *descriptor.Job, cfg *descriptor.Configuration) error {
-	workers := validator.ExpectedWorkers(cfg)
-	if job.Region == e.settings.Region {
-		for _, a := range e.agents.all() {
-			if a.report.Worker != nil && !a.replaced {
-				workers = append(workers, *a.report.Worker)
-			}
-		}
-	}
-	if len(workers) == 0 {
-		return nil
-	}
-	var core scheduler.Core
+	core := scheduler.Core{Region: job.Region}
 	now := e.now()
 	core.Configure(cfg, now)
-	for _, w := range workers {
-		if w.Cores == 0 && w.Memory == 0 {
-			// The expected fleet states accelerators only.
-			w.Cores = descriptor.Cores(1e6)
-			w.Memory = descriptor.Megabytes(1e12)
-		}
-		if w.Region == job.Region {
-			core.SetWorker(w, now)
+	for _, a := range e.agents.all() {
+		if a.report.Worker != nil && !a.replaced {
+			core.SetWorker(*a.report.Worker, now)
 		}
 	}
 	if err := core.Submit(*job, now, now); errors.Is(err, scheduler.ErrNeverFits) {
--- a/internal/scheduler/reach.go
+++ b/internal/scheduler/reach.go
@@ -6,15 +6,28 @@
 	"persimmontrail/pkg/descriptor"
 )
 
-// SetReachable tells whether new attempts may be placed on a worker.
-func (c *Core) SetReachable(id descriptor.WorkerID, reachable bool, now time.Time) {}
-
-// Resubmit is Submit for a job that had attempts in an earlier term.
-func (c *Core) Resubmit(job descriptor.Job, accepted time.Time, last descriptor.Attempt, now time.Time) error {
-	return c.Submit(job, accepted, now)
+// SetReachable says whether a worker is heard. One that is not gets no new
+// attempts, but what runs there still counts, since it may go on.
+func (c *Core) SetReachable(id descriptor.WorkerID, reachable bool, now time.Time) {
+	c.begin(now)
+	w := c.view.workers[id]
+	if w == nil || w.silent != reachable {
+		return
+	}
+	w.silent = !reachable
+	c.refresh(w)
+	if reachable {
+		c.capacityFreed()
+	}
 }
 
-// String returns the name of the kind.
-func (k DecisionKind) String() string {
-	return [...]string{"Start", "Reclaim", "Stop", "End"}[k]
+// Resubmit is Submit for a job that had attempts up to last in an earlier term,
+// whose numbers must not be used again.
+func (c *Core) Resubmit(job descriptor.Job, accepted time.Time, last descriptor.Attempt, now time.Time) error {
+	if err := c.Submit(job, accepted, now); err != nil {
+		return err
+	}
+	j := c.jobs[job.Key()]
+	j.number = max(j.number, last)
+	return nil
 }
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -101,7 +101,9 @@
 	// up is false from RemoveWorker until SetWorker. The description is kept for fleetMemory.
 	up     bool
 	goneAt int64
-	// usable workers are up, outside of removed failure domains and not in quarantine.
+	// silent workers get no new attempts; what runs there goes on.
+	silent bool
+	// usable workers are up, heard, outside of removed failure domains and not in quarantine.
 	usable bool
 	// used is what held, running and leaving attempts take.
 	used vector
@@ -220,7 +222,7 @@
 
 // refresh brings the sums above w up to date after any change of w.
 func (c *Core) refresh(w *worker) {
-	usable := w.up && !c.view.isOut(w) && !w.health.quarantined
+	usable := w.up && !w.silent && !c.view.isOut(w) && !w.health.quarantined
 	c.countUsable(w, usable)
 	room, free := 0, vector{}
 	if usable {
