--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// sizes are the numbers of workers for which growth is measured; the last is the target of the design.
+var sizes = []int{350, 1100, 3400}
+
+// loaded builds a core of the given number of workers in proportion to the target: 4,000 accelerators and
+// 12,000 running tasks on 3,400 workers, 420 workspaces. Three in four racks have no accelerators.
+func loaded(workers int, full bool) (*Core, time.Time) {
+	c := &Core{}
+	now := epoch
+	workspaces := workers * 420 / 3400
+	cfg := &descriptor.Configuration{Classes: []descriptor.Class{class("urgent", time.Minute, 1), class("slow", 8*time.Hour, 1)}}
+	for d := range 10 {
+		cfg.FailureDomains = append(cfg.FailureDomains, descriptor.FailureDomain{Name: descriptor.FailureDomainID(fmt.Sprintf("d%d", d))})
+	}
+	for i := range workspaces {
+		ws := descriptor.Workspace{Name: descriptor.WorkspaceID(fmt.Sprintf("ws%03d", i))}
+		switch i % 10 {
+		case 0:
+			ws.Guarantees = []descriptor.Shape{{Accelerators: 16, Adjacency: descriptor.LevelRack}}
+		case 1:
+			ws.Guarantees = []descriptor.Shape{{Accelerators: 8, Adjacency: descriptor.LevelWorker}}
+		default:
+			ws.Guarantees = []descriptor.Shape{{Accelerators: 1, Adjacency: descriptor.LevelWorker, Count: 4}}
+		}
+		cfg.Workspaces = append(cfg.Workspaces, ws)
+	}
+	// Workspaces idle and big run nothing, so that their guarantees are lent.
+	cfg.Workspaces = append(cfg.Workspaces, descriptor.Workspace{Name: "none"}, descriptor.Workspace{Name: "idle", Guarantees: []descriptor.Shape{{Accelerators: 8, Adjacency: descriptor.LevelWorker}}})
+	cfg.Workspaces = append(cfg.Workspaces, descriptor.Workspace{Name: "big", Guarantees: []descriptor.Shape{{Accelerators: descriptor.Accelerators(min(256, workers*256/3400)), Adjacency: descriptor.LevelFailureDomain}}})
+	c.Configure(cfg, now)
+	for i := range workers {
+		c.SetWorker(benchWorker(i), now)
+	}
+	accelerators := int(c.view.total.accelerators)
+	for i := range workers * 12000 / 3400 {
+		ws := cfg.Workspaces[i%workspaces].Name
+		acc := descriptor.Accelerators(0)
+		if full && i < accelerators {
+			acc = 1
+		}
+		j := tasks(ws, "slow", 1, acc, 0, time.Duration(1+i%7)*time.Hour)
+		j.ID = descriptor.JobID(fmt.Sprintf("run%06d", i))
+		must(c.Submit(j, now, now))
+	}
+	settle(c, now)
+	return c, now.Add(time.Hour)
+}
+
+// benchWorker alternates racks of eight-accelerator workers, of one-accelerator workers and of workers without.
+func benchWorker(i int) descriptor.Worker {
+	acc := descriptor.Accelerators(0)
+	switch rack := i / 10; {
+	case rack%8 == 0:
+		acc = 8
+	case rack%8 < 3:
+		acc = 1
+	}
+	return workerAt(i*10/3400%10, i/10, i, acc)
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// settle starts everything that can start and lets victims stop.
+func settle(c *Core, now time.Time) {
+	for {
+		list := c.Decide(now)
+		if len(list) == 0 {
+			return
+		}
+		for _, d := range list {
+			kind := EventStarted
+			if d.Kind == DecisionReclaim {
+				kind = EventStopped
+			}
+			c.Observe(Event{Key: d.Key, Attempt: d.Attempt, Kind: kind}, now)
+		}
+	}
+}
+
+func bySize(b *testing.B, f func(b *testing.B, workers int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) { f(b, n) })
+	}
+}
+
+// decideOne measures Submit and Decide for one job, and takes the job back outside of the measurement.
+func decideOne(b *testing.B, c *Core, now time.Time, j descriptor.Job) {
+	started := 0
+	var worst time.Duration
+	for i := 0; b.Loop(); i++ {
+		j.ID = descriptor.JobID(fmt.Sprintf("bench%d", i))
+		from := time.Now()
+		must(c.Submit(j, now, now))
+		list := c.Decide(now)
+		worst = max(worst, time.Since(from))
+		b.StopTimer()
+		started += len(list)
+		must(c.Cancel(j.Key(), now))
+		stopAll(c, list, now)
+		stopAll(c, c.Decide(now), now)
+		settle(c, now)
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(worst.Microseconds()), "worst-µs")
+	b.ReportMetric(float64(started)/float64(b.N), "decisions/op")
+}
+
+func stopAll(c *Core, list []Decision, now time.Time) {
+	for _, d := range list {
+		c.Observe(Event{Key: d.Key, Attempt: d.Attempt, Kind: EventStopped}, now)
+	}
+}
+
+func BenchmarkUrgentFree(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c, now := loaded(n, false)
+		decideOne(b, c, now, tasks("idle", "urgent", 1, 1, 0, time.Minute))
+	})
+}
+
+// BenchmarkUrgentReclaim measures an urgent decision on a full fleet, by reclaim.
+func BenchmarkUrgentReclaim(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c, now := loaded(n, true)
+		decideOne(b, c, now, tasks("idle", "urgent", 1, 8, 0, time.Minute))
+	})
+}
+
+func BenchmarkGang256Free(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c, now := loaded(n, false)
+		decideOne(b, c, now, tasks("big", "slow", min(256, n*256/3400), 1, 0, time.Hour))
+	})
+}
+
+func BenchmarkGang256Reclaim(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c, now := loaded(n, true)
+		decideOne(b, c, now, tasks("big", "slow", min(256, n*256/3400), 1, 0, time.Hour))
+	})
+}
+
+// BenchmarkUrgentReclaimOne measures an urgent job of one accelerator with many possible victims.
+func BenchmarkUrgentReclaimOne(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c, now := loaded(n, true)
+		decideOne(b, c, now, tasks("idle", "urgent", 1, 1, 0, time.Minute))
+	})
+}
+
+// BenchmarkUrgentBlocked measures an urgent job that finds no place, on a full fleet.
+func BenchmarkUrgentBlocked(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c, now := loaded(n, true)
+		decideOne(b, c, now, tasks("none", "urgent", 1, 1, 0, time.Minute))
+	})
+}
+
+// BenchmarkPass measures a pass over 10,000 waiting jobs of many shapes on a full fleet.
+func BenchmarkPass(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c, now := loaded(n, true)
+		for i := range 10000 {
+			ws := descriptor.WorkspaceID(fmt.Sprintf("ws%03d", i%(n*420/3400)))
+			j := tasks(ws, "slow", 1+i%40, descriptor.Accelerators(1<<(i%4)), descriptor.Level(i%2), time.Duration(1+i%9)*time.Hour)
+			j.ID = descriptor.JobID(fmt.Sprintf("wait%05d", i))
+			_ = c.Submit(j, now, now)
+		}
+		settle(c, now)
+		waiting := c.waiting
+		for b.Loop() {
+			c.capacityFreed()
+			c.Decide(now)
+		}
+		b.ReportMetric(float64(waiting), "waiting")
+	})
+}
+
+// BenchmarkPassStarts measures a pass that starts 10,000 jobs.
+func BenchmarkPassStarts(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		for b.Loop() {
+			b.StopTimer()
+			c, now := loaded(n, false)
+			for i := range 10000 {
+				j := tasks("ws001", "slow", 1, 0, 0, time.Hour)
+				j.ID = descriptor.JobID(fmt.Sprintf("wait%05d", i))
+				must(c.Submit(j, now, now))
+			}
+			b.StartTimer()
+			c.Decide(now)
+		}
+	})
+}
+
+// BenchmarkView reports the memory of the view with all work running and 10,000 jobs waiting.
+func BenchmarkView(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		var held *Core
+		before := heap()
+		for b.Loop() {
+			c, now := loaded(n, true)
+			for i := range 10000 {
+				j := tasks("ws001", "slow", 16, 8, 0, time.Hour)
+				j.ID = descriptor.JobID(fmt.Sprintf("wait%05d", i))
+				_ = c.Submit(j, now, now)
+			}
+			held = c
+		}
+		b.ReportMetric(float64(heap()-before)/1e6, "view-MB")
+		runtime.KeepAlive(held)
+	})
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -53,8 +53,10 @@
 	queue   []entry
 	waiting int
 	// fresh jobs were not considered since they were queued; delayed ones wait for their notBefore.
-	fresh     []*job
-	delayed   []*job
+	fresh   []*job
+	delayed []*job
+	// unserved are new jobs that could not start and have no reservation yet.
+	unserved  []*job
 	orderedBy int
 	reorderAt int64
 	passing   bool
@@ -650,7 +652,7 @@
 		return
 	}
 	c.freed = false
-	c.fresh = c.fresh[:0]
+	c.fresh, c.unserved = c.fresh[:0], nil
 	c.failed = make(signatures)
 	c.passing = true
 	for _, e := range c.queue {
@@ -663,6 +665,10 @@
 }
 
 func (c *Core) passFresh() {
+	if len(c.fresh) == 0 {
+		c.reserveBlocked()
+		return
+	}
 	list := c.fresh
 	c.fresh = nil
 	slices.SortFunc(list, func(a, b *job) int { return a.compare(b) })
@@ -683,8 +689,26 @@
 	if !j.queuedOnly && c.covers(j) {
 		c.lock(j)
 	}
-	if j.reserved == nil && len(c.reservations) < reservationLimit {
+	if j.reserved != nil || len(c.reservations) >= reservationLimit {
+		return
+	}
+	if c.passing {
 		c.reserve(j)
+		return
+	}
+	c.unserved = append(c.unserved, j)
+}
+
+// reserveBlocked makes reservations for new jobs that could not start. It runs in a Decide without
+// new jobs, because an urgent start must not wait for it.
+func (c *Core) reserveBlocked() {
+	list := c.unserved
+	c.unserved = nil
+	slices.SortFunc(list, func(a, b *job) int { return a.compare(b) })
+	for _, j := range list {
+		if j.waiting && j.reserved == nil && j.notBefore <= c.now && len(c.reservations) < reservationLimit {
+			c.reserve(j)
+		}
 	}
 }
 
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -20,6 +20,8 @@
 	spare func(w *worker) vector
 	// skip reports whether nothing below a rack or failure domain can help; nil for none.
 	skip func(n *node) bool
+	// limit lowers the number of tasks that may go to a worker or rack; nil for no limit.
+	limit func(n *node, fit int) int
 }
 
 // free looks for a place on free resources only.
@@ -91,11 +93,15 @@
 	domain  *node
 	score   [3]int64
 	total   int
+	// enough is set when looking further would not give a better place that is worth the time.
+	enough bool
 }
 
 func (s *search) scan(nodes []*node) {
 	for _, n := range nodes {
-		s.total += s.visit(n)
+		if !s.enough {
+			s.total += s.visit(n)
+		}
 	}
 }
 
@@ -113,8 +119,15 @@
 		return 0
 	}
 	for _, k := range n.children {
+		if s.enough {
+			return n.fit
+		}
 		n.fit += s.visit(k)
 	}
+	if s.request.limit != nil {
+		n.fit = s.request.limit(n, n.fit)
+	}
+	s.enough = n.level == descriptor.LevelRack && s.worker != nil && s.perfect()
 	if n.fit >= s.request.job.Tasks && n.level >= s.loosest {
 		s.offer(n)
 	}
@@ -128,6 +141,9 @@
 	}
 	v := s.request.spare(w)
 	n.fit = v.count(s.request.job.need)
+	if s.request.limit != nil {
+		n.fit = s.request.limit(n, n.fit)
+	}
 	if w.health.probing {
 		n.fit = min(n.fit, 1)
 	}
@@ -153,6 +169,9 @@
 	return [3]int64{v.accelerators - need.accelerators, w.node.parent.free.accelerators, v.millicores - need.millicores}
 }
 
+// perfect reports whether the best worker leaves no accelerator behind, or has none for work without accelerators.
+func (s *search) perfect() bool { return s.score[0] == 0 }
+
 func less(a, b [3]int64) bool {
 	for i := range a {
 		if a[i] != b[i] {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -77,6 +77,8 @@
 	ticket   int32
 	waiting  bool
 	reserved *reservation
+	// reserveAt is when a reservation may be searched for again.
+	reserveAt int64
 	// notBefore delays the next try after failures and refusals.
 	notBefore int64
 	failures  []failure
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -41,8 +41,11 @@
 
 // reclaimSearch collects what a reclaim in one unit would free.
 type reclaimSearch struct {
-	core    *Core
-	job     *job
+	core *Core
+	job  *job
+	// cell, when set, restricts the search to what the plan keeps for this cell and to slack, so that
+	// the placement needs no change of the plan.
+	cell    *cell
 	workers []*worker
 	victims []victim
 	// touched workers have a gain that must be reset.
@@ -63,16 +66,34 @@
 	s.victims = s.victims[:0]
 }
 
+// limit lowers fit to what the plan allows in n for the cell of the search.
+func (s *reclaimSearch) limit(n *node, fit int) int {
+	if s.cell == nil || n.level == descriptor.LevelFailureDomain {
+		return fit
+	}
+	allowed := n.slack
+	for m := s.cell.node; m != nil; m = m.parent {
+		if m == n {
+			allowed += s.cell.residual()
+		}
+	}
+	return max(0, min(fit, allowed/int(s.job.need.accelerators)))
+}
+
 // evaluate finds victims below n, the cheapest first, until the gang fits. It returns their cost.
 func (s *reclaimSearch) evaluate(n *node) (float64, bool) {
 	s.reset()
-	possible := s.collect(n)
-	if possible < s.job.Tasks {
+	s.core.mark++
+	if s.collect(n) < s.job.Tasks {
 		return 0, false
 	}
 	fit, cost := 0, 0.0
 	for _, w := range s.workers {
-		fit += afterLeaving(w).count(s.job.need)
+		w.searched = s.core.mark
+		w.node.fit, w.node.parent.fit = 0, 0
+	}
+	for _, w := range s.workers {
+		fit += s.update(w)
 		for _, r := range w.reservations {
 			cost += float64(s.core.now-r.job.accepted) / float64(second) * float64(s.job.need.accelerators)
 		}
@@ -93,6 +114,16 @@
 	return 0, false
 }
 
+// update counts again how many tasks fit on w and returns by how much the sum of its rack changes.
+func (s *reclaimSearch) update(w *worker) int {
+	rack := w.node.parent
+	before := s.limit(rack, rack.fit)
+	fit := s.limit(w.node, afterLeaving(w).count(s.job.need))
+	rack.fit += fit - w.node.fit
+	w.node.fit = fit
+	return s.limit(rack, rack.fit) - before
+}
+
 // collect gathers the workers below n that could help, and returns how many tasks fit without reclaimable work.
 func (s *reclaimSearch) collect(n *node) int {
 	if !s.job.allows(n.region) {
@@ -106,10 +137,10 @@
 		return sum
 	}
 	w := n.worker
-	if w.room == 0 || w.health.probing || !s.core.admits(w, s.job) {
+	if w.room < int(s.job.need.accelerators) || w.health.probing || !s.core.admits(w, s.job) {
 		return 0
 	}
-	fit := w.capacity.minus(w.firm).count(s.job.need)
+	fit := s.limit(n, w.capacity.minus(w.firm).count(s.job.need))
 	if fit > 0 {
 		s.workers = append(s.workers, w)
 	}
@@ -117,7 +148,6 @@
 }
 
 func (s *reclaimSearch) collectVictims() {
-	s.core.mark++
 	for _, w := range s.workers {
 		for _, a := range w.attempts {
 			if a.mark == s.core.mark || !a.reclaimable() {
@@ -129,16 +159,15 @@
 	}
 }
 
-// gain adds or removes what the victim a frees, and returns by how much the fit of all workers changes.
+// gain adds or removes what the victim a frees, and returns by how much the fit of the unit changes.
 func (s *reclaimSearch) gain(a *attempt, sign int) int {
 	changed := 0
 	for _, p := range a.spans {
 		w := p.worker
-		before := afterLeaving(w).count(s.job.need)
 		w.gain = w.gain.plus(a.job.need.times(sign * p.count))
 		s.touched = append(s.touched, w)
-		if slices.Contains(s.workers, w) {
-			changed += afterLeaving(w).count(s.job.need) - before
+		if w.searched == s.core.mark {
+			changed += s.update(w)
 		}
 	}
 	return changed
@@ -163,9 +192,36 @@
 			}
 		}
 	}
+	return c.reclaimOwn(s)
+}
+
+// reclaimOwn makes room where the plan keeps a cell for j, which succeeds whenever the gang fits its cell.
+func (c *Core) reclaimOwn(s *reclaimSearch) bool {
+	j := s.job
+	tried := 0
+	for _, l := range c.workspaces[j.Workspace].cells {
+		if !l.planned || l.residual() < j.accelerators() || tried >= candidatesTried {
+			continue
+		}
+		tried++
+		s.cell = l
+		for _, n := range unitsWithin(l.node, j.Adjacency) {
+			if c.reclaimIn(s, n) {
+				return true
+			}
+		}
+	}
 	return false
 }
 
+// unitsWithin returns n, or the units of level l below it when l is tighter.
+func unitsWithin(n *node, l descriptor.Level) []*node {
+	if n.level >= l {
+		return []*node{n}
+	}
+	return unitsBelow(n, l)
+}
+
 // candidates returns the units of a level to try, the cheapest first.
 func (c *Core) candidates(s *reclaimSearch, level descriptor.Level) []candidate {
 	var all []candidate
@@ -224,7 +280,7 @@
 		return false
 	}
 	j := s.job
-	r := request{job: j, end: forever, spare: func(w *worker) vector {
+	r := request{job: j, end: forever, limit: s.limit, spare: func(w *worker) vector {
 		if w.room == 0 || w.health.probing {
 			return vector{}
 		}
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -10,8 +10,10 @@
 const (
 	// reservationLimit bounds the jobs with a reservation. More would leave less room for backfill.
 	reservationLimit = 4
-	// reservationSearches bounds the searches in one Decide, since each looks at all running work.
-	reservationSearches = 8
+	// reservationSearches bounds the searches in one Decide, since each looks at all running work,
+	// and reservationRetry is when a search that found nothing is repeated.
+	reservationSearches = 2
+	reservationRetry    = second
 	// reservationRecheck is how often the start of a reservation that is due is estimated again.
 	reservationRecheck = 10 * second
 )
@@ -62,10 +64,11 @@
 
 // reserve makes a reservation where j can start first.
 func (c *Core) reserve(j *job) {
-	if c.searches >= searchLimit || c.reserving >= reservationSearches {
+	if c.reserving >= reservationSearches || c.now < j.reserveAt {
 		return
 	}
 	c.reserving++
+	j.reserveAt = c.now + reservationRetry
 	var best *reservation
 	loosest := j.Adjacency
 	if j.need.accelerators == 0 {
@@ -124,6 +127,10 @@
 	if fit < j.Tasks {
 		start = c.simulate(j, workers, fit, best)
 	}
+	if start == c.now && j.NonIdempotent {
+		// Guarantees and not running work block the job; a reservation would not help it.
+		return nil
+	}
 	if start == forever || (best != nil && start >= best.start) {
 		return nil
 	}
@@ -263,7 +270,7 @@
 	if next != nil {
 		c.addReservation(next)
 	}
-	if next == nil && c.reserving < reservationSearches {
+	if next == nil {
 		c.reserve(j)
 	}
 }
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -124,6 +124,8 @@
 	health       health
 	// gain is scratch: what the victims of a search would free here.
 	gain vector
+	// searched is the mark of the latest search for victims that includes this worker.
+	searched int
 }
 
 func (w *worker) currentFree() vector { return w.capacity.minus(w.used).minus(w.claimed) }
