issuer: compare contents of key files

The files are small and are read at most once a second, so their contents are compared. Err now also reports a certificate that expires while it is in use, and is cleared when the files are as they were.

TestCallsAreAnsweredCrossed replaced channels that a handler of the previous path could still read, a data race in the test; the channels are now made once and carry one token each.

--- a/internal/issuer/reloader.go
+++ b/internal/issuer/reloader.go
@@ -17,7 +17,7 @@
 
 // Errors of Load, wrapped with the name of the file.
 var (
-	ErrMissing = errors.New("file missing")
+	ErrMissing = errors.New("file missing or unreadable")
 	ErrInvalid = errors.New("file invalid")
 	ErrExpired = errors.New("certificate not valid at this time")
 	// ErrMismatch means that the key does not belong to the certificate, or that the authority did not issue it.
@@ -39,10 +39,11 @@
 	pool        *x509.CertPool
 }
 
-// fileState tells whether a file has changed.
-type fileState struct {
-	modified time.Time
-	size     int64
+// contents are the bytes of the three files of a process. They are compared instead of times of change, which two writes within a tick of the kernel's clock share.
+type contents struct {
+	authority   string
+	certificate string
+	key         string
 }
 
 // Reloader holds keys from files and reads them again when the files change.
@@ -53,7 +54,7 @@
 
 	mu      sync.Mutex
 	current *keys
-	states  [3]fileState
+	loaded  contents
 	checked time.Time
 	failure error
 }
@@ -61,15 +62,10 @@
 // Load reads the files. Errors name the file.
 func Load(f Files) (*Reloader, error) {
 	r := &Reloader{files: f, now: time.Now}
-	states, err := f.states()
-	if err != nil {
-		return nil, err
-	}
-	k, err := f.read(r.now())
-	if err != nil {
+	r.checked = r.now()
+	if err := r.reload(r.checked); err != nil {
 		return nil, err
 	}
-	r.current, r.states, r.checked = k, states, r.now()
 	return r, nil
 }
 
@@ -93,7 +89,7 @@
 	}
 }
 
-// Err returns the error of the last reload, or nil. After an error the previous keys stay in use.
+// Err returns what was wrong with the files when they were last looked at, or nil. After an error the previous keys stay in use.
 func (r *Reloader) Err() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,81 +101,79 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	if now.Sub(r.checked) < checkEvery {
-		return r.current, nil
-	}
-	r.checked = now
-	states, err := r.files.states()
-	if err == nil && states == r.states {
-		return r.current, nil
+	if now.Sub(r.checked) >= checkEvery {
+		r.checked = now
+		r.failure = r.reload(now)
 	}
+	return r.current, nil
+}
+
+// reload replaces the current keys when the files have changed and are valid together.
+func (r *Reloader) reload(now time.Time) error {
+	c, err := r.files.read()
 	if err != nil {
-		r.failure = err
-		return r.current, nil
+		return err
+	}
+	if r.current != nil && c == r.loaded {
+		return r.files.check(r.current, now)
 	}
-	k, err := r.files.read(now)
-	r.failure = err
+	k, err := r.files.parse(c)
 	if err != nil {
-		return r.current, nil
+		return err
 	}
-	r.current, r.states = k, states
-	return k, nil
-}
-
-func (f Files) states() ([3]fileState, error) {
-	var states [3]fileState
-	for i, name := range []string{f.Authority, f.Certificate, f.Key} {
-		info, err := os.Stat(name)
-		if err != nil {
-			return states, fileError(name, ErrMissing, err)
-		}
-		states[i] = fileState{modified: info.ModTime(), size: info.Size()}
+	if err := r.files.check(k, now); err != nil {
+		return err
 	}
-	return states, nil
+	r.current, r.loaded = k, c
+	return nil
 }
 
 func fileError(name string, kind, err error) error {
 	return fmt.Errorf("%s: %w: %w", name, kind, err)
 }
 
-func (f Files) read(now time.Time) (*keys, error) {
-	authority, err := os.ReadFile(f.Authority)
-	if err != nil {
-		return nil, fileError(f.Authority, ErrMissing, err)
-	}
-	certificate, err := os.ReadFile(f.Certificate)
-	if err != nil {
-		return nil, fileError(f.Certificate, ErrMissing, err)
-	}
-	key, err := os.ReadFile(f.Key)
-	if err != nil {
-		return nil, fileError(f.Key, ErrMissing, err)
+func (f Files) read() (contents, error) {
+	var c contents
+	for _, f := range []struct {
+		name string
+		to   *string
+	}{{f.Authority, &c.authority}, {f.Certificate, &c.certificate}, {f.Key, &c.key}} {
+		data, err := os.ReadFile(f.name)
+		if err != nil {
+			return c, fileError(f.name, ErrMissing, err)
+		}
+		*f.to = string(data)
 	}
+	return c, nil
+}
+
+func (f Files) parse(c contents) (*keys, error) {
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
+	if !pool.AppendCertsFromPEM([]byte(c.authority)) {
 		return nil, fmt.Errorf("%s: %w: no certificate in PEM", f.Authority, ErrInvalid)
 	}
-	leaf, err := parseCertificate(certificate)
+	leaf, err := parseCertificate([]byte(c.certificate))
 	if err != nil {
 		return nil, fileError(f.Certificate, ErrInvalid, err)
 	}
-	if err := parseKey(key); err != nil {
+	if err := parseKey([]byte(c.key)); err != nil {
 		return nil, fileError(f.Key, ErrInvalid, err)
 	}
-	pair, err := tls.X509KeyPair(certificate, key)
+	pair, err := tls.X509KeyPair([]byte(c.certificate), []byte(c.key))
 	if err != nil {
 		return nil, fileError(f.Key, ErrMismatch, err)
 	}
 	pair.Leaf = leaf
-	return &keys{certificate: pair, pool: pool}, f.check(leaf, pool, now)
+	return &keys{certificate: pair, pool: pool}, nil
 }
 
 // check verifies the own certificate as peers will.
-func (f Files) check(leaf *x509.Certificate, pool *x509.CertPool, now time.Time) error {
+func (f Files) check(k *keys, now time.Time) error {
+	leaf := k.certificate.Leaf
 	if now.Before(leaf.NotBefore) || now.After(leaf.NotAfter) {
 		return fmt.Errorf("%s: %w: valid from %s until %s", f.Certificate, ErrExpired, leaf.NotBefore.Format(time.RFC3339), leaf.NotAfter.Format(time.RFC3339))
 	}
-	if err := verify(leaf, pool, now); err != nil {
+	if err := verify(leaf, k.pool, now); err != nil {
 		return fileError(f.Certificate, ErrMismatch, err)
 	}
 	if _, err := messenger.CertificateIdentity(leaf); err != nil {
--- a/internal/messenger/transport_test.go
+++ b/internal/messenger/transport_test.go
@@ -108,11 +108,8 @@
 func TestCallsAreAnsweredCrossed(t *testing.T) {
 	const calls = 6
 	var next [calls + 1]chan struct{}
-	reset := func() {
-		for i := range next {
-			next[i] = make(chan struct{})
-		}
-		close(next[calls])
+	for i := range next {
+		next[i] = make(chan struct{}, 1)
 	}
 	handle := func(ctx context.Context, from messenger.Identity, kind messenger.Kind, body []byte) (any, error) {
 		var v messenger.Serve
@@ -121,11 +118,11 @@
 		}
 		i := int(v.Deadline)
 		<-next[i+1]
-		defer close(next[i])
+		defer func() { next[i] <- struct{}{} }()
 		return echo(ctx, from, kind, body)
 	}
 	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
-		reset()
+		next[calls] <- struct{}{}
 		var wg sync.WaitGroup
 		for i := range calls {
 			wg.Go(func() {
@@ -137,6 +134,7 @@
 			})
 		}
 		wg.Wait()
+		<-next[0]
 	}, handle)
 }
 
