enforcer: NotRun of an idempotent request stays true

A repeated idempotent request that found no slot was called not run although an earlier run of it had failed, and an Outcome query that waited did not make its NotRun final.

--- a/internal/enforcer/request.go
+++ b/internal/enforcer/request.go
@@ -49,6 +49,9 @@
 	refused bool
 	answer  messenger.ServeAnswer
 	endedAt time.Time
+	// earlier is the answer of an earlier run of an idempotent request. It stands when the repetition does not run,
+	// because "not run" would be false.
+	earlier *messenger.ServeAnswer
 	// ended is closed when answer is set.
 	ended chan struct{}
 	// admit is closed when a queued request gets a slot.
@@ -147,15 +150,18 @@
 	defer e.unlock(before)
 	now := e.now()
 	key := requestKey{s.Request.Workspace, s.Request.ID}
-	if r := e.requests.records[key]; r != nil {
-		if !r.over() || r.refused || r.nonIdempotent || s.NonIdempotent || r.answer.Result == descriptor.ResultDone {
-			return r, messenger.ServeAnswer{}
-		}
-		e.dropBody(r)
-		delete(e.requests.records, key) // An idempotent request that did not succeed may run again.
+	old := e.requests.records[key]
+	if old != nil && (!old.over() || old.refused || old.nonIdempotent || s.NonIdempotent || old.answer.Result == descriptor.ResultDone) {
+		return old, messenger.ServeAnswer{}
 	}
 	r := &record{key: key, nonIdempotent: s.NonIdempotent, ended: make(chan struct{}), admit: make(chan struct{})}
+	if old != nil && old.answer.Result != descriptor.ResultNotRun {
+		r.earlier = &old.answer
+	}
 	if err := e.mayQueue(s, now); err != nil {
+		if r.earlier != nil {
+			return old, messenger.ServeAnswer{}
+		}
 		return nil, e.refuse(r, err.Error(), now)
 	}
 	e.requests.records[key] = r
@@ -292,6 +298,10 @@
 
 // endNotRun ends a request that certainly did not run. It keeps the promise for non-idempotent ones.
 func (e *Enforcer) endNotRun(r *record, reason string, elsewhere bool, now time.Time) {
+	if r.earlier != nil {
+		e.endRequest(r, *r.earlier, now)
+		return
+	}
 	r.refused = r.nonIdempotent
 	e.endRequest(r, messenger.ServeAnswer{
 		Result:         descriptor.ResultNotRun,
@@ -360,7 +370,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Wait)
 	defer cancel()
-	return e.await(ctx, r)
+	if a := e.await(ctx, r); a.Result != descriptor.ResultNotRun {
+		return a
+	}
+	return e.promise(r)
+}
+
+// promise makes the answer NotRun of r final, unless the request was repeated meanwhile.
+func (e *Enforcer) promise(r *record) messenger.ServeAnswer {
+	before := e.lock()
+	defer e.unlock(before)
+	if current := e.requests.records[r.key]; current != r && current != nil {
+		return e.outcome(current)
+	}
+	e.requests.records[r.key] = r
+	r.refused = true
+	r.endedAt = e.now() // The promise is kept for as long as an outcome.
+	return r.answer
 }
 
 func (e *Enforcer) lookUp(o messenger.OutcomeQuery) (*record, messenger.ServeAnswer) {
@@ -369,9 +395,6 @@
 	now := e.now()
 	key := requestKey{o.Workspace, o.Request}
 	if r := e.requests.records[key]; r != nil {
-		if r.over() && r.answer.Result == descriptor.ResultNotRun {
-			r.refused = true
-		}
 		return r, messenger.ServeAnswer{}
 	}
 	unknown := messenger.ServeAnswer{Result: descriptor.ResultUnknown, Request: o.Request, Endpoint: e.requests.endpoint.ID}
--- a/internal/enforcer/request_test.go
+++ b/internal/enforcer/request_test.go
@@ -57,13 +57,13 @@
 	t *rapid.T
 	b *backEnd
 	e *Enforcer
-	// notRun are ids that the agent called NotRun, with how often they had run until then.
-	notRun map[descriptor.RequestID]int
+	// notRun are ids of which the agent has promised that they never run.
+	notRun map[descriptor.RequestID]bool
 	end    time.Time
 }
 
 func newDesk(t *rapid.T) *desk {
-	d := &desk{t: t, notRun: map[descriptor.RequestID]int{}}
+	d := &desk{t: t, notRun: map[descriptor.RequestID]bool{}}
 	d.b = &backEnd{runs: map[descriptor.RequestID]int{}, permit: func() bool { return time.Now().Before(d.end) }}
 	d.e = &Enforcer{Agent: "run1", FailureDomain: domain, Endpoint: Endpoint{Serve: d.b.serve}}
 	d.announce()
@@ -87,27 +87,27 @@
 		NonIdempotent: id[0] == 'n',
 		Deadline:      time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadline")) * time.Millisecond,
 	})
-	d.learn(id, a)
+	d.learn(id, a, id[0] == 'n')
 }
 
 func (d *desk) query(t *rapid.T) {
 	id := d.draw(t)
 	agent := rapid.SampledFrom([]string{"run1", "run0"}).Draw(t, "agent")
-	d.learn(id, d.e.Outcome(context.Background(), messenger.OutcomeQuery{Workspace: "w", Request: id, Agent: agent, Age: time.Second}))
+	d.learn(id, d.e.Outcome(context.Background(), messenger.OutcomeQuery{Workspace: "w", Request: id, Agent: agent, Age: time.Second}), true)
 }
 
-func (d *desk) learn(id descriptor.RequestID, a messenger.ServeAnswer) {
+func (d *desk) learn(id descriptor.RequestID, a messenger.ServeAnswer, promised bool) {
 	synctest.Wait()
 	d.b.mu.Lock()
 	defer d.b.mu.Unlock()
 	switch {
 	case a.Result == descriptor.ResultDone && string(a.Body) != string(id):
 		d.t.Fatalf("%s got the answer %q", id, a.Body)
-	case a.Result == descriptor.ResultNotRun && id[0] == 'n':
+	case a.Result == descriptor.ResultNotRun && promised:
 		if d.b.runs[id] > 0 {
 			d.t.Fatalf("%s is called not run after %d runs", id, d.b.runs[id])
 		}
-		d.notRun[id] = 0
+		d.notRun[id] = true
 	}
 }
 
