enforcer: a refused Hold may be repeated; test of isolation

The attempt was remembered before its resources were reserved, so that the repetition of a Hold refused for want of resources was called stale.

--- a/internal/enforcer/gang.go
+++ b/internal/enforcer/gang.go
@@ -168,10 +168,13 @@
 			return e.answer(nil, fmt.Errorf("%w: attempt %d is being stopped", ErrNoResources, older.ref.Attempt))
 		}
 	}
-	if err := e.remember(h.Gang.Key, h.Gang.Attempt, now); err != nil {
-		return e.answer(nil, err)
+	if !e.mayRemember(h.Gang.Key) {
+		return e.answer(nil, ErrRememberFull)
 	}
 	g, err = e.reserve(h, now)
+	if err == nil {
+		e.remember(h.Gang, now)
+	}
 	return e.answer(g, err)
 }
 
@@ -257,13 +260,15 @@
 	return taken
 }
 
-// remember records the attempt as the highest of its job, within the bound.
-func (e *Enforcer) remember(key descriptor.JobKey, n descriptor.Attempt, now time.Time) error {
-	if _, known := e.attempts[key]; !known && len(e.attempts) >= maxRemembered {
-		return ErrRememberFull
-	}
-	e.attempts[key] = seenAttempt{number: n, at: now}
-	return nil
+// mayRemember reports whether the attempt memory has room for the job.
+func (e *Enforcer) mayRemember(key descriptor.JobKey) bool {
+	_, known := e.attempts[key]
+	return known || len(e.attempts) < maxRemembered
+}
+
+// remember records the attempt as the highest of its job.
+func (e *Enforcer) remember(ref messenger.GangRef, now time.Time) {
+	e.attempts[ref.Key] = seenAttempt{number: ref.Attempt, at: now}
 }
 
 // Commit keeps the hold for longer.
@@ -481,8 +486,9 @@
 		e.stopGang(older, messenger.TaskStopped, s.Cause, 0, now)
 	}
 	if g == nil {
-		// A full memory refuses a late Hold as well, so that the error changes nothing here.
-		_ = e.remember(s.Gang.Key, s.Gang.Attempt, now)
+		if e.mayRemember(s.Gang.Key) { // A full memory refuses a late Hold as well.
+			e.remember(s.Gang, now)
+		}
 		return nil, messenger.GangAnswer{OK: true, State: messenger.TaskStopped, Epoch: e.epoch}, nil
 	}
 	grace := time.Duration(0)
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -206,6 +206,32 @@
 	})
 }
 
+// Guards against an agent without entries whose tasks run on after schedulers
+// count them as stopped, which is 35 s after its last report. Without the
+// isolated branch of tickGang the test fails.
+func TestIsolation(t *testing.T) {
+	bubble(t, func(f *fixture) {
+		f.run(1)
+		f.entries.set(func(e *entries) { e.silent = true })
+		time.Sleep(29 * time.Second)
+		assert.Equal(t, f.enforcer.Active(), 1)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, f.enforcer.Active(), 0)
+		for _, w := range f.taskList() {
+			assert.Equal(t, w.State, faker.TaskStopped)
+			assert.Equal(t, w.Checkpoints, 1)
+		}
+	})
+}
+
+func (f *fixture) taskList() (list []faker.TaskStatus) {
+	f.t.Helper()
+	_, err := f.agent.worker.do(context.Background(), http.MethodGet, "/tasks", nil, &list)
+	assert.NilError(f.t, err)
+	assert.Equal(f.t, len(list), 2)
+	return list
+}
+
 // Guards against a restart of the agent that loses a confirmed gang, or that
 // lets a task run on which belongs to none.
 func TestRestartAdopts(t *testing.T) {
@@ -252,11 +278,7 @@
 		f.entries.set(func(e *entries) {
 			assert.Equal(t, e.reports[len(e.reports)-1].State, messenger.AgentLeaving)
 		})
-		var list []faker.TaskStatus
-		_, err := f.agent.worker.do(context.Background(), http.MethodGet, "/tasks", nil, &list)
-		assert.NilError(t, err)
-		assert.Equal(t, len(list), 2)
-		for _, w := range list {
+		for _, w := range f.taskList() {
 			assert.Equal(t, w.State, faker.TaskStopped)
 			assert.Equal(t, w.Checkpoints, 1)
 		}
