--- a/internal/replayer/attempt.go
+++ b/internal/replayer/attempt.go
@@ -251,16 +251,20 @@
 		r.invalid(j, "reclaim of an attempt that does not run")
 		return
 	}
-	r.report.Reclaims++
-	starting := j.state == jobStarting
 	checkpoint := r.trace.Header.CheckpointTime.Std()
 	delay := min(checkpoint, d.Grace)
 	switch {
-	case j.lost || starting:
+	case j.lost:
+		r.lose(j, &r.report.LostToFailures)
+		delay = stopDelay
+	case j.state == jobStarting:
+		r.report.Reclaims++
 		delay = stopDelay
 	case d.Grace < checkpoint:
+		r.report.Reclaims++
 		r.lose(j, &r.report.LostToReclaim)
 	default:
+		r.report.Reclaims++
 		// A checkpoint and its loading are time that does no work.
 		r.report.LostToReclaim += float64(j.Accelerators()) * (2 * checkpoint).Hours()
 		j.progress += r.elapsed(j)
@@ -288,6 +292,9 @@
 	if j.state.occupies() {
 		r.release(j)
 	}
+	if !j.fails && !j.NonIdempotent {
+		r.report.WrongRefusals++
+	}
 	if d.Reason == "" {
 		r.invalid(j, "job ended without a reason")
 	}
--- a/internal/replayer/audit.go
+++ b/internal/replayer/audit.go
@@ -145,6 +145,23 @@
 	return true
 }
 
+// fitsEmptyFleet reports whether a job fits on the region's workers when all are up and empty.
+func (r *replay) fitsEmptyFleet(g *region, j *descriptor.Job) bool {
+	room := make(map[string]int)
+	for _, m := range g.machines {
+		empty := machine{free: descriptor.Resources{Cores: m.Cores, Memory: m.Memory, Accelerators: m.Accelerators}}
+		n := 0
+		for n < j.Tasks && empty.fits(j.PerTask, n+1) {
+			n++
+		}
+		u := unitOf(m.Worker, j.Adjacency)
+		if room[u] += n; room[u] >= j.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
 // placeShape takes the accelerators of a shape from the unit that has the least room for it.
 func placeShape(machines []*machine, free []descriptor.Accelerators, s descriptor.Shape) bool {
 	room := make(map[string]descriptor.Accelerators)
--- a/internal/replayer/compare.go
+++ b/internal/replayer/compare.go
@@ -64,6 +64,8 @@
 		return points <= o.Limit, fmt.Sprintf("%.1f points below, limit %.1f", points, o.Limit)
 	case OutcomeUnaccounted:
 		return atMost(o, g.Unaccounted, b.Unaccounted)
+	case OutcomeWrongRefusals:
+		return atMost(o, g.WrongRefusals, b.WrongRefusals)
 	case OutcomePartialGangs:
 		return atMost(o, g.PartialGangs, b.PartialGangs)
 	case OutcomeRemovedDomain:
@@ -141,6 +143,7 @@
 		row{"accepted = completed + cancelled + refused + unaccounted", func(r *Report) string {
 			return fmt.Sprintf("%d = %d + %d + %d + %d", r.Accepted, r.Completed, r.Cancelled, r.Refused, r.Unaccounted)
 		}},
+		row{"wrong refusals", func(r *Report) string { return fmt.Sprint(r.WrongRefusals) }},
 		row{"partial gangs", func(r *Report) string { return fmt.Sprint(r.PartialGangs) }},
 		row{"starts in a removed failure domain", func(r *Report) string { return fmt.Sprint(r.StartsInRemovedDomain) }},
 		row{"repeated non-idempotent runs", func(r *Report) string { return fmt.Sprint(r.RepeatedRuns) }},
--- a/internal/replayer/generate.go
+++ b/internal/replayer/generate.go
@@ -71,6 +71,7 @@
 			{Name: OutcomeLargeWait, Limit: 0.5},
 			{Name: OutcomeUtilisation, Limit: 5},
 			{Name: OutcomeUnaccounted},
+			{Name: OutcomeWrongRefusals},
 			{Name: OutcomePartialGangs},
 			{Name: OutcomeRemovedDomain},
 			{Name: OutcomeRepeatedRuns},
--- a/internal/replayer/replay.go
+++ b/internal/replayer/replay.go
@@ -177,7 +177,7 @@
 	if g := r.byName[name]; g != nil {
 		return g
 	}
-	g := &region{name: name, core: &scheduler.Core{Policy: r.policy}}
+	g := &region{name: name, core: &scheduler.Core{Policy: r.policy, Region: name}}
 	r.byName[name] = g
 	r.regions = append(r.regions, g)
 	return g
@@ -291,6 +291,9 @@
 	r.all = append(r.all, j)
 	g := r.region(j.Region)
 	if err := g.core.Submit(j.Job, r.now, r.now); err != nil {
+		if r.fitsEmptyFleet(g, &j.Job) {
+			r.report.WrongRefusals++
+		}
 		r.close(j, jobRefused, err.Error())
 		return
 	}
--- a/internal/replayer/report.go
+++ b/internal/replayer/report.go
@@ -22,6 +22,8 @@
 	Accepted, Completed, Cancelled, Refused int
 	// Unaccounted jobs were accepted and have no end.
 	Unaccounted int
+	// WrongRefusals are jobs that were refused although the empty fleet holds them, and jobs that may run again, do not fail on their own, and were ended.
+	WrongRefusals int
 	// RefusedReasons counts the refusals by reason.
 	RefusedReasons map[string]int
 
--- a/internal/replayer/trace.go
+++ b/internal/replayer/trace.go
@@ -51,6 +51,8 @@
 	OutcomeUtilisation OutcomeName = "UtilisationPointsBelowBaseline"
 	// OutcomeUnaccounted bounds accepted jobs without an end.
 	OutcomeUnaccounted OutcomeName = "UnaccountedJobs"
+	// OutcomeWrongRefusals bounds jobs that were refused or ended although they could run.
+	OutcomeWrongRefusals OutcomeName = "WrongRefusals"
 	// OutcomePartialGangs bounds gangs that run in part for longer than the gang protocol allows.
 	OutcomePartialGangs OutcomeName = "PartialGangs"
 	// OutcomeRemovedDomain bounds starts in a failure domain that is out.
@@ -62,7 +64,7 @@
 )
 
 var outcomeNames = []OutcomeName{
-	OutcomeGuaranteeViolations, OutcomeUrgentWithinTarget, OutcomeLargeWait, OutcomeUtilisation, OutcomeUnaccounted,
+	OutcomeGuaranteeViolations, OutcomeUrgentWithinTarget, OutcomeLargeWait, OutcomeUtilisation, OutcomeUnaccounted, OutcomeWrongRefusals,
 	OutcomePartialGangs, OutcomeRemovedDomain, OutcomeRepeatedRuns, OutcomeInvalidDecisions,
 }
 
