replayer: cases of two guarantee faults, stated outcomes as a test

The replay of the scheduler core found two causes of guarantee violations. Each is cut down to a few events in testdata/fault-*.jsonl and has a test: a job that was reclaimed from borrowed capacity never claims its workspace's own guarantee (6 events), and an unused part of a guarantee is kept for a larger job which it cannot hold (12 events).

The auditor had two faults of its own, found by looking at each violation: it did not let a job that needs one worker use a guaranteed rack, and did not let a job use two copies together. Both made work within the guarantee look as if it was borrowed. Work lost in a window is now subtracted from it.

--- a/internal/replayer/attempt.go
+++ b/internal/replayer/attempt.go
@@ -242,7 +242,19 @@
 
 // lose counts the work of the current attempt as lost.
 func (r *replay) lose(j *job, account *float64) {
-	*account += float64(j.Accelerators()) * r.elapsed(j).Hours()
+	work := float64(j.Accelerators()) * r.elapsed(j).Hours()
+	*account += work
+	r.undo(work)
+}
+
+// undo takes lost work off the windows in which it is lost; otherwise work that is done twice would count twice.
+func (r *replay) undo(work float64) {
+	at := r.now.Sub(r.trace.Header.Start)
+	for i := range r.report.Windows {
+		if w := &r.report.Windows[i]; at >= w.From && at < w.To {
+			w.Work -= work
+		}
+	}
 }
 
 // reclaim writes a checkpoint and stops the attempt. Without enough grace there is no checkpoint and the attempt's work is lost.
@@ -267,6 +279,7 @@
 		r.report.Reclaims++
 		// A checkpoint and its loading are time that does no work.
 		r.report.LostToReclaim += float64(j.Accelerators()) * (2 * checkpoint).Hours()
+		r.undo(float64(j.Accelerators()) * checkpoint.Hours())
 		j.progress += r.elapsed(j)
 	}
 	j.state = jobStopping
--- a/internal/replayer/audit.go
+++ b/internal/replayer/audit.go
@@ -75,7 +75,7 @@
 	return c.free >= j.Accelerators() && c.shape.Adjacency >= j.Adjacency
 }
 
-// unusedCopies packs the workspace's running jobs into its copies, the largest job first and each into the smallest copy that holds it, so that as many copies as possible stay whole.
+// unusedCopies packs the workspace's running jobs into its copies by where they run, the largest job first and each into the smallest copy that holds it, so that as many copies as possible stay whole.
 func (r *replay) unusedCopies(g *region, w descriptor.Workspace) []guaranteedCopy {
 	copies := copiesOf(guaranteesIn(w, g.name))
 	var running []*job
@@ -86,16 +86,48 @@
 	}
 	sort.SliceStable(running, func(a, b int) bool { return running[a].Accelerators() > running[b].Accelerators() })
 	for _, j := range running {
-		for i := range copies {
-			if copies[i].holds(&j.Job) {
-				copies[i].free -= j.Accelerators()
-				break
-			}
-		}
+		r.pack(j, copies)
 	}
 	return copies
 }
 
+// pack takes j from the smallest copy that holds it, or else from several copies that hold it together. A job that the copies do not hold runs on borrowed capacity and takes nothing.
+func (r *replay) pack(j *job, copies []guaranteedCopy) {
+	together := descriptor.Accelerators(0)
+	for i := range copies {
+		if !r.withinOneUnit(j, copies[i].shape.Adjacency) {
+			continue
+		}
+		if copies[i].free >= j.Accelerators() {
+			copies[i].free -= j.Accelerators()
+			return
+		}
+		together += copies[i].free
+	}
+	left := j.Accelerators()
+	if together < left {
+		return
+	}
+	for i := len(copies) - 1; i >= 0 && left > 0; i-- {
+		if r.withinOneUnit(j, copies[i].shape.Adjacency) {
+			n := min(left, copies[i].free)
+			copies[i].free -= n
+			left -= n
+		}
+	}
+}
+
+// withinOneUnit reports whether a running job lies within one worker, rack or failure domain.
+func (r *replay) withinOneUnit(j *job, level descriptor.Level) bool {
+	first := unitOf(r.workers[j.placement[0].Worker].Worker, level)
+	for _, a := range j.placement[1:] {
+		if unitOf(r.workers[a.Worker].Worker, level) != first {
+			return false
+		}
+	}
+	return true
+}
+
 // copiesOf lists the copies of all shapes, the smallest first.
 func copiesOf(shapes []descriptor.Shape) []guaranteedCopy {
 	var copies []guaranteedCopy
--- a/internal/replayer/replay_test.go
+++ b/internal/replayer/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -67,7 +68,7 @@
 // Guards against jobs that vanish from the account when faults meet them.
 func TestFaultsAreAccountedFor(t *testing.T) {
 	for _, p := range []scheduler.Policy{scheduler.PolicyGuaranteed, scheduler.PolicyBaseline} {
-		tr := testTrace(t, "a 0s 10m", "a 0s 10m", "b 1m 1m", "b 1m 5m")
+		tr := testTrace(t, "a 0s 60m", "a 0s 60m", "b 1m 1m", "b 1m 5m")
 		key := tr.Events[3].Job.Key()
 		tr.Events = append(tr.Events,
 			Event{At: minutes(2), Kind: JobCancelled, Key: &key},
@@ -86,6 +87,45 @@
 	}
 }
 
+func readFile(t *testing.T, name string) Trace {
+	f, err := os.Open(filepath.Join("testdata", name))
+	assert.NilError(t, err)
+	defer f.Close()
+	tr, err := Read(f)
+	assert.NilError(t, err)
+	return tr
+}
+
+// Guards against a workspace whose guarantee stays lent to others because its waiting job was once reclaimed from borrowed capacity. The trace is cut from beaulieu-bad.
+func TestReclaimedJobKeepsItsGuarantee(t *testing.T) {
+	r, err := Replay(readFile(t, "fault-reclaimed-job.jsonl"), scheduler.PolicyGuaranteed)
+	assert.NilError(t, err)
+	assert.Equal(t, r.GuaranteeViolations, 0, "%v", r.Violations)
+}
+
+// Guards against an unused part of a guarantee that is kept for a larger job which that part cannot hold. The trace is cut from beaulieu-bad.
+func TestRestOfGuaranteeIsNotKeptForLargerJob(t *testing.T) {
+	r, err := Replay(readFile(t, "fault-guarantee-lock.jsonl"), scheduler.PolicyGuaranteed)
+	assert.NilError(t, err)
+	assert.Equal(t, r.GuaranteeViolations, 0, "%v", r.Violations)
+}
+
+// Guards against policies that miss what the committed traces state. The table is printed with -v.
+func TestStatedOutcomes(t *testing.T) {
+	for name := range committed {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := Compare(readFile(t, name+".jsonl"))
+			assert.NilError(t, err)
+			t.Log(c.Table())
+			for _, o := range c.Outcomes() {
+				assert.Check(t, o.Met, "%s: %s", o.Outcome.Name, o.Detail)
+			}
+			assert.Check(t, c.Baseline.InvalidDecisions == 0, "baseline: %v", c.Baseline.InvalidReasons)
+		})
+	}
+}
+
 // testComparison has figures that do not depend on the scheduler.
 func testComparison(t *testing.T) *Comparison {
 	tr := testTrace(t)
