--- a/internal/replayer/attempt.go
+++ b/internal/replayer/attempt.go
@@ -242,7 +242,19 @@
 
 // lose counts the work of the current attempt as lost.
 func (r *replay) lose(j *job, account *float64) {
-	*account += float64(j.Accelerators()) * r.elapsed(j).Hours()
+	work := float64(j.Accelerators()) * r.elapsed(j).Hours()
+	*account += work
+	r.undo(work)
+}
+
+// undo takes lost work off the windows in which it is lost; otherwise work that is done twice would count twice.
+func (r *replay) undo(work float64) {
+	at := r.now.Sub(r.trace.Header.Start)
+	for i := range r.report.Windows {
+		if w := &r.report.Windows[i]; at >= w.From && at < w.To {
+			w.Work -= work
+		}
+	}
 }
 
 // reclaim writes a checkpoint and stops the attempt. Without enough grace there is no checkpoint and the attempt's work is lost.
@@ -251,18 +263,23 @@
 		r.invalid(j, "reclaim of an attempt that does not run")
 		return
 	}
-	r.report.Reclaims++
-	starting := j.state == jobStarting
 	checkpoint := r.trace.Header.CheckpointTime.Std()
 	delay := min(checkpoint, d.Grace)
 	switch {
-	case j.lost || starting:
+	case j.lost:
+		r.lose(j, &r.report.LostToFailures)
+		delay = stopDelay
+	case j.state == jobStarting:
+		r.report.Reclaims++
 		delay = stopDelay
 	case d.Grace < checkpoint:
+		r.report.Reclaims++
 		r.lose(j, &r.report.LostToReclaim)
 	default:
+		r.report.Reclaims++
 		// A checkpoint and its loading are time that does no work.
 		r.report.LostToReclaim += float64(j.Accelerators()) * (2 * checkpoint).Hours()
+		r.undo(float64(j.Accelerators()) * checkpoint.Hours())
 		j.progress += r.elapsed(j)
 	}
 	j.state = jobStopping
@@ -288,6 +305,9 @@
 	if j.state.occupies() {
 		r.release(j)
 	}
+	if !j.fails && !j.NonIdempotent {
+		r.report.WrongRefusals++
+	}
 	if d.Reason == "" {
 		r.invalid(j, "job ended without a reason")
 	}
