--- a/internal/coordinator/jobapi.go
+++ b/internal/coordinator/jobapi.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"persimmontrail/internal/keeper"
@@ -54,7 +55,7 @@
 		return nil, notRun(http.StatusForbidden, "Workspace: the token is not one of workspace %q", job.Workspace)
 	}
 	if job.Region == "" {
-		job.Region = e.settings.Region
+		job.Region = e.regionFor(cfg, job.Workspace)
 	}
 	if class := validator.FindClass(cfg, job.Class); class != nil && class.NonIdempotent {
 		job.NonIdempotent = true
@@ -75,6 +76,17 @@
 	return viewOf(record), nil
 }
 
+// regionFor chooses the region of a job that names none: this one, unless only
+// other regions honour guarantees of its workspace. A job runs on its guarantee
+// only there, and work that runs at most once never runs on borrowed capacity.
+func (e *Entry) regionFor(cfg *descriptor.Configuration, w descriptor.WorkspaceID) descriptor.RegionID {
+	homes := scheduler.HomeRegions(cfg, w)
+	if len(homes) == 0 || slices.Contains(homes, e.settings.Region) {
+		return e.settings.Region
+	}
+	return homes[0]
+}
+
 // checkFits refuses a job that does not fit with all known and expected workers up and empty.
 func (e *Entry) checkFits(job *descriptor.Job, cfg *descriptor.Configuration) error {
 	core := scheduler.Core{Region: job.Region}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -137,6 +137,11 @@
 			{Name: removedDomain, Region: "qc-sud"},
 			{Name: "Saguenay", Region: "qc-nord"},
 		},
+		Fleet: []descriptor.RackSize{
+			{FailureDomain: "Montreal", Racks: 1, Workers: workersPerDomain, Accelerators: acceleratorsPerWorker},
+			{FailureDomain: removedDomain, Racks: 1, Workers: workersPerDomain, Accelerators: acceleratorsPerWorker},
+			{FailureDomain: "Saguenay", Racks: 1, Workers: workersPerDomain, Accelerators: acceleratorsPerWorker},
+		},
 	}
 }
 
@@ -407,7 +412,9 @@
 	report.Accepted++
 	if s.result == descriptor.ResultDone && s.whole && finished > 0 {
 		report.Completed++
+		return
 	}
+	r.say("request %s: result %q, whole answer %v, %d runs, %d finished", s.request.ID, s.result, s.whole, started, finished)
 }
 
 func (r *run) countJobs(report *Report, runs []faker.Run) {
@@ -426,6 +433,8 @@
 		tasks := []int{2, 3, 1, 4, 2, 1}[i%6]
 		if len(done[k]) == tasks {
 			report.Completed++
+		} else {
+			r.say("job %s: %d of %d tasks finished", k, len(done[k]), tasks)
 		}
 	}
 	for _, g := range faker.PartialGangs(runs) {
--- a/internal/scheduler/reach.go
+++ b/internal/scheduler/reach.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"persimmontrail/pkg/descriptor"
@@ -31,3 +32,23 @@
 	j.number = max(j.number, last)
 	return nil
 }
+
+// HomeRegions returns the regions that honour guarantees of a workspace, sorted by name.
+func HomeRegions(cfg *descriptor.Configuration, name descriptor.WorkspaceID) []descriptor.RegionID {
+	i := slices.IndexFunc(cfg.Workspaces, func(w descriptor.Workspace) bool { return w.Name == name })
+	if i < 0 {
+		return nil
+	}
+	var homes []descriptor.RegionID
+	assigned := assignRegions(cfg)
+	for k, s := range cfg.Workspaces[i].Guarantees {
+		if s.Region != "" {
+			homes = append(homes, s.Region)
+		}
+		for region := range assigned[shapeIndex{i, k}] {
+			homes = append(homes, region)
+		}
+	}
+	slices.Sort(homes)
+	return slices.Compact(homes)
+}
