Work that runs at most once stays where it is when its failure domain goes out

Change: the core leaves such attempts alone, the agent says NeverStarted when no start can have reached the worker, and the claim of such an attempt is released.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -517,12 +517,32 @@
 	})
 }
 
+// releaseClaim takes back the claim of an attempt that certainly never started,
+// so that the job may have another one.
+func (d *schedulingDuty) releaseClaim(g *gang) {
+	if !g.job.NonIdempotent {
+		return
+	}
+	ref := g.ref
+	d.records.add(ref.Key, func(r *keeper.JobRecord) error {
+		if r.State != keeper.JobRunning || r.Attempt != ref.Attempt || r.Epoch != ref.Epoch {
+			return errAlreadyEnded
+		}
+		r.State = keeper.JobQueued
+		return nil
+	})
+}
+
 // settleStop tells the core the outcome of an attempt that has stopped.
 func (d *schedulingDuty) settleStop(t *termState, g *gang, neverStarted bool) {
 	now := d.entry.now()
 	k := g.ref.Key
 	r, _ := d.entry.jobs.get(k)
 	d.dismiss(t, g)
+	if neverStarted {
+		g.outcome.Kind = scheduler.EventNotStarted
+		d.releaseClaim(g)
+	}
 	t.core.Observe(g.outcome, now)
 	switch {
 	case r.State == keeper.JobCancelling:
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -350,6 +350,9 @@
 			var v coordinator.JobView
 			_, err := r.call(ctx, 0, http.MethodGet, "/v1/jobs/"+string(k.Workspace)+"/"+string(k.Job), nil, &v)
 			if err == nil && v.EndedAt != nil {
+				if v.Result != descriptor.ResultDone {
+					r.say("job %s: %s: %s", k, v.Result, v.Reason)
+				}
 				r.elapsed[string(v.Job.Class)] = append(r.elapsed[string(v.Job.Class)], v.EndedAt.Sub(v.Accepted).Seconds())
 				break
 			}
--- a/internal/enforcer/gang.go
+++ b/internal/enforcer/gang.go
@@ -74,6 +74,19 @@
 	return fmt.Sprintf("%s:%s:%d:%d", url.QueryEscape(string(key.Workspace)), url.QueryEscape(string(key.Job)), attempt, index)
 }
 
+// neverStarted reports whether the gang has ended and no start can have reached the worker.
+func (g *gang) neverStarted() bool {
+	if !g.state.Ended() {
+		return false
+	}
+	for _, t := range g.tasks {
+		if t.called {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Enforcer) change(g *gang) {
 	e.version++
 	g.version = e.version
@@ -117,6 +130,7 @@
 	a := messenger.GangAnswer{OK: err == nil, Epoch: e.epoch}
 	if g != nil {
 		a.State = g.state
+		a.NeverStarted = g.neverStarted()
 	}
 	if err != nil {
 		a.Refusal = err.Error()
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -291,7 +291,8 @@
 	for _, a := range slices.Clone(w.attempts) {
 		switch {
 		case a.leaving:
-		case a.job.NonIdempotent && a.running:
+		case a.job.NonIdempotent:
+			// It runs to its end where it is. One that has not started is refused by its agent and queued again.
 			c.discharge(a)
 		default:
 			c.leave(a, reclaimGrace, reason)
