--- a/internal/commander/server.go
+++ b/internal/commander/server.go
@@ -15,6 +15,7 @@
 
 	"persimmontrail/internal/coordinator"
 	"persimmontrail/internal/issuer"
+	"persimmontrail/internal/messenger"
 	"persimmontrail/internal/supervisor"
 	"persimmontrail/pkg/descriptor"
 	"persimmontrail/pkg/validator"
@@ -182,7 +183,7 @@
 			reloader, keyErr := keys.load()
 			logger, logErr := p.logger(logs, "agent")
 			if keyErr == nil {
-				client := s.Connect(reloader.ServerTLS(), reloader.ClientTLS())
+				client := s.Connect(reloader.ServerTLS(), reloader.ClientTLS(messenger.RoleEntry))
 				defer client.Close()
 			}
 			if err := joinFaults(s.Validate(), keyErr, logErr); err != nil {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -20,6 +20,7 @@
 	"persimmontrail/internal/issuer"
 	"persimmontrail/internal/messenger"
 	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
 )
 
 const (
@@ -85,25 +86,28 @@
 
 // Validate returns all errors in s at once.
 func (s *Settings) Validate() error {
-	var errs []error
+	var faults validator.Errors
 	need := func(ok bool, field, want string) {
 		if !ok {
-			errs = append(errs, fmt.Errorf("%s: %s", field, want))
+			faults = append(faults, validator.FieldError{Field: field, Reason: want})
 		}
 	}
-	need(s.Name != "", "Name", "must not be empty")
-	need(len(s.Entries) > 0, "Entries", "must name at least one entry")
-	need(s.FailureDomain != "", "FailureDomain", "must not be empty")
-	need(s.Region != "", "Region", "must not be empty")
-	need(s.WorkerURL == "" || isHTTP(s.WorkerURL), "WorkerURL", "must be an http URL")
-	need(s.EndpointURL == "" || isHTTP(s.EndpointURL), "EndpointURL", "must be an http URL")
-	need(s.EndpointURL == "" || s.EndpointID != "", "EndpointID", "must not be empty with EndpointURL")
-	need(s.EndpointURL == "" || s.Service != "", "Service", "must not be empty with EndpointURL")
-	need(s.EndpointURL == "" || s.Slots > 0, "Slots", "must be at least 1 with EndpointURL")
-	need(s.EndpointURL == "" || s.Connections > 0, "Connections", "must be at least 1 with EndpointURL")
+	need(s.Name != "", "name", "must not be empty")
+	need(len(s.Entries) > 0, "entries", "must name at least one entry")
+	need(s.FailureDomain != "", "failure-domain", "must not be empty")
+	need(s.Region != "", "region", "must not be empty")
+	need(s.WorkerURL == "" || isHTTP(s.WorkerURL), "worker", "must be an http URL")
+	need(s.EndpointURL == "" || isHTTP(s.EndpointURL), "endpoint", "must be an http URL")
+	need(s.EndpointURL == "" || s.EndpointID != "", "endpoint-id", "must not be empty with endpoint")
+	need(s.EndpointURL == "" || s.Service != "", "service", "must not be empty with endpoint")
+	need(s.EndpointURL == "" || s.Slots > 0, "slots", "must be at least 1 with endpoint")
+	need(s.EndpointURL == "" || s.Connections > 0, "connections", "must be at least 1 with endpoint")
 	withKeys := s.Keys.Authority != "" && s.Keys.Certificate != "" && s.Keys.Key != ""
-	need(withKeys || s.Call != nil && s.Bind != nil, "Keys", "must name the files Authority, Certificate and Key")
-	return errors.Join(errs...)
+	need(withKeys || s.Call != nil && s.Bind != nil, "tls", "must name the files of authority, certificate and key")
+	if len(faults) == 0 {
+		return nil
+	}
+	return faults
 }
 
 func isHTTP(text string) bool {
