messenger: close a TCP connection before its call counts as finished

A call whose TCP connection ended without confirmation was counted as finished before the connection was closed. A shutdown in between could say goodbye on it, and the caller would take a call that had run for one that was not sent. The connection is now closed first. Found by reading; no test provokes that interleaving.

TestPartialRequestDoesNotRun guards ErrNotSent for requests cut while being sent.

--- a/internal/messenger/server_tcp.go
+++ b/internal/messenger/server_tcp.go
@@ -95,6 +95,8 @@
 	}
 	defer finish()
 	defer cancel()
+	// The connection is closed before finish, since a shutdown may then say goodbye on it, which tells the caller that the call was not run.
+	defer p.conn.NetConn().Close()
 	extend := func() { p.conn.SetReadDeadline(time.Now().Add(transferTimeout)) }
 	fr := frameReader{r: p.conn}
 	for {
--- a/internal/messenger/transport_test.go
+++ b/internal/messenger/transport_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
@@ -323,6 +325,38 @@
 	assert.Assert(t, !errors.Is(err, messenger.ErrNotSent))
 }
 
+// Guards against a handler that runs on a request of which only a part has arrived.
+func TestPartialRequestDoesNotRun(t *testing.T) {
+	a, b := authority(t), newBlocker()
+	s := serve(t, a, b.handle)
+	c, err := a.Client(messenger.RoleEntry, "entry-1")
+	assert.NilError(t, err)
+	c.NextProtos = []string{"persimmontrail/1"}
+	partial := []byte{2, 0, 0, 0, 9, 0xa2, 1, 1, 2} // a request frame of 9 bytes, 4 of which are there
+
+	overTCP, err := tls.Dial("tcp", s.Addr(), c)
+	assert.NilError(t, err)
+	defer overTCP.Close()
+	_, err = overTCP.Write(partial)
+	assert.NilError(t, err)
+	assert.NilError(t, overTCP.CloseWrite())
+	_, err = io.Copy(io.Discard, overTCP) // until the server closes
+	assert.NilError(t, err)
+
+	conn, err := quic.DialAddr(within(t, 10*time.Second), s.Addr(), c, nil)
+	assert.NilError(t, err)
+	defer conn.CloseWithError(0, "")
+	st, err := conn.OpenStream()
+	assert.NilError(t, err)
+	_, err = st.Write(partial)
+	assert.NilError(t, err)
+	assert.NilError(t, st.Close())
+	_, err = io.Copy(io.Discard, st) // until the server resets the stream
+	var reset *quic.StreamError
+	assert.Assert(t, errors.As(err, &reset), "%v", err)
+	assert.Equal(t, b.calls.Load(), int32(0))
+}
+
 // Guards against calls that outlast the client.
 func TestCloseEndsCalls(t *testing.T) {
 	b := newBlocker()
