supervisor: tests fail for the faults they name

Trials with one line switched off at a time showed that the tests missed a lease that is not renewed before adoption, a listener that closes under a request, a last report that is not awaited, unchanged tasks in each report, and a report that waits for its period. They now fail for each of these.

--- a/internal/enforcer/gang_test.go
+++ b/internal/enforcer/gang_test.go
@@ -408,6 +408,7 @@
 //   - partial gang after 10 s: g.expires in acceptStart
 //   - started twice: the check of attempts[...].number in Hold
 //   - ended gang that still runs: began.Before(t.lateUntil) in stopTask
+//   - older attempt obeyed: the check of ref.Attempt in admit
 //   - older scheduler obeyed: the check of ref.Epoch in admit
 func TestGangProtocol(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/enforcer/request_test.go
+++ b/internal/enforcer/request_test.go
@@ -17,7 +17,7 @@
 
 // backEnd is an endpoint that runs a request until the test lets it end.
 type backEnd struct {
-	mu sync.Mutex
+	mu   sync.Mutex
 	runs map[descriptor.RequestID]int
 	// waiting are the running requests, which end with the error sent to them.
 	waiting []chan error
@@ -168,7 +168,8 @@
 // at a time):
 //   - run twice: r.nonIdempotent in the first condition of admitRequest
 //   - run after "not run" to Serve: e.refuse's r.refused and record
-//   - run after "not run" to Outcome: the same, through lookUp
+//   - run after "not run" to Outcome: r.refused = true in promise
+//   - "not run" after an earlier run: r.earlier in admitRequest
 //   - start without a permit: mayStart in prepareRequest
 //   - more than the slots: q.busy < e.slots() in admitQueued
 //   - slot lost: e.requests.busy-- in finishRequest
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -185,7 +185,12 @@
 		f.delay.Store(int64(2100 * time.Millisecond))
 		a = send[messenger.GangAnswer](f, messenger.KindStart, step)
 		assert.Equal(t, a.State, messenger.TaskStarting)
-		time.Sleep(3 * time.Second)
+		began := time.Now()
+		other := messenger.GangRef{Key: descriptor.JobKey{Workspace: "tailor", Job: "other"}, Attempt: 1, Epoch: 1}
+		a = send[messenger.GangAnswer](f, messenger.KindHold, messenger.Hold{Gang: other, Tasks: []int{0}, Members: 1})
+		assert.Assert(t, a.OK, a.Refusal)
+		assert.Equal(t, time.Since(began), time.Duration(0), "a slow worker blocks other messages")
+		time.Sleep(5 * time.Second)
 		assert.Equal(t, f.worker.Stats().Starts, int64(0))
 		assert.Equal(t, f.entries.last(testKey).State, messenger.TaskFailed)
 	})
@@ -245,7 +250,7 @@
 		f.crash()
 		assert.NilError(t, f.agent.worker.start(context.Background(), stray))
 		f.entries.set(func(e *entries) { e.reports = nil })
-		time.Sleep(time.Second)
+		time.Sleep(3 * time.Second) // The leases would lapse before the adoption.
 		f.boot()
 		time.Sleep(3 * time.Second)
 		r := f.entries.last(testKey)
@@ -270,8 +275,11 @@
 		go func() { answers <- send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage("r1", true)) }()
 		time.Sleep(time.Second)
 		began := time.Now()
-		none := func(context.Context) error { return nil }
-		assert.NilError(t, f.shutdown(&MessageServer{Serve: none, Shutdown: none}))
+		closing := func(context.Context) error {
+			assert.Equal(t, f.enforcer.Pending(), 0, "the listener closes under a request")
+			return nil
+		}
+		assert.NilError(t, f.shutdown(&MessageServer{Shutdown: closing}))
 		assert.Assert(t, time.Since(began) < shutdownWithin)
 		assert.Equal(t, (<-answers).Result, descriptor.ResultDone)
 		assert.Equal(t, f.entries.last(testKey).State, messenger.TaskStopped)
@@ -287,6 +295,19 @@
 	})
 }
 
+// Guards against an agent that leaves before its entries know that its tasks have stopped.
+func TestShutdownReportsTheEnd(t *testing.T) {
+	bubble(t, func(f *fixture) {
+		f.run(1)
+		time.Sleep(time.Second)
+		closing := func(context.Context) error {
+			assert.Equal(t, f.entries.last(testKey).State, messenger.TaskStopped)
+			return nil
+		}
+		assert.NilError(t, f.shutdown(&MessageServer{Shutdown: closing}))
+	})
+}
+
 func serveMessage(id descriptor.RequestID, nonIdempotent bool) messenger.Serve {
 	return messenger.Serve{
 		Request:       descriptor.Request{ID: id, Workspace: "tailor", Class: "preview", Body: []byte(`{}`)},
@@ -351,13 +372,16 @@
 			t.Logf("%d bytes of reports a second to 3 entries", e.bytes/60)
 			// What the transport adds, about 100 bytes for each of 6 reports a second, and the answers must fit as well.
 			assert.Assert(t, e.bytes/60 < 2500)
+			last := e.reports[len(e.reports)-1]
+			assert.Assert(t, last.Worker == nil && len(last.Tasks) == 0, "an unchanged state is reported again")
 			e.reports, e.at = nil, nil
 		})
+		time.Sleep(200 * time.Millisecond) // Between two periodic reports.
 		began := time.Now()
 		send[messenger.GangAnswer](f, messenger.KindStop, messenger.Stop{Gang: step.Gang})
 		time.Sleep(50 * time.Millisecond)
 		f.entries.set(func(e *entries) {
-			assert.Assert(t, slices.ContainsFunc(e.at, func(at time.Time) bool { return at.Sub(began) <= 45*time.Millisecond }))
+			assert.Assert(t, slices.ContainsFunc(e.at, func(at time.Time) bool { return !at.Before(began) && at.Sub(began) <= 45*time.Millisecond }))
 		})
 	})
 }
