--- a/internal/messenger/transport_test.go
+++ b/internal/messenger/transport_test.go
@@ -108,11 +108,8 @@
 func TestCallsAreAnsweredCrossed(t *testing.T) {
 	const calls = 6
 	var next [calls + 1]chan struct{}
-	reset := func() {
-		for i := range next {
-			next[i] = make(chan struct{})
-		}
-		close(next[calls])
+	for i := range next {
+		next[i] = make(chan struct{}, 1)
 	}
 	handle := func(ctx context.Context, from messenger.Identity, kind messenger.Kind, body []byte) (any, error) {
 		var v messenger.Serve
@@ -121,11 +118,11 @@
 		}
 		i := int(v.Deadline)
 		<-next[i+1]
-		defer close(next[i])
+		defer func() { next[i] <- struct{}{} }()
 		return echo(ctx, from, kind, body)
 	}
 	paths(t, func(t *testing.T, r *relay, c *messenger.Client, _ *issuer.Authority) {
-		reset()
+		next[calls] <- struct{}{}
 		var wg sync.WaitGroup
 		for i := range calls {
 			wg.Go(func() {
@@ -137,6 +134,7 @@
 			})
 		}
 		wg.Wait()
+		<-next[0]
 	}, handle)
 }
 
@@ -325,6 +323,23 @@
 	assert.Assert(t, !errors.Is(err, messenger.ErrNotSent))
 }
 
+// Guards against calls that outlast the client.
+func TestCloseEndsCalls(t *testing.T) {
+	b := newBlocker()
+	defer close(b.release)
+	paths(t, func(t *testing.T, r *relay, c *messenger.Client, a *issuer.Authority) {
+		other := client(t, a)
+		failed := make(chan error, 1)
+		go func() { failed <- other.Call(within(t, 10*time.Second), r.addr(), messenger.KindStart, nil, nil) }()
+		<-b.started
+		assert.NilError(t, other.Close())
+		assert.ErrorIs(t, <-failed, messenger.ErrLost)
+		<-b.canceled
+		assert.ErrorIs(t, other.Call(within(t, time.Second), r.addr(), messenger.KindHold, nil, nil), messenger.ErrClosed)
+		assert.NilError(t, c.Call(within(t, 10*time.Second), r.addr(), messenger.KindHold, nil, nil))
+	}, b.handle)
+}
+
 // Guards against unbounded running calls and against a refusal whose handler ran.
 func TestCallsOverLimitAreRefused(t *testing.T) {
 	b := newBlocker()
