enforcer: a stop proves nothing until after the permit's last moment

The worker accepts a start at exactly NotAfter, so that a stop begun at that moment could come before a start whose answer was lost.

--- a/internal/enforcer/gang.go
+++ b/internal/enforcer/gang.go
@@ -579,7 +579,7 @@
 	before := e.lock()
 	defer e.unlock(before)
 	t.inCall = false
-	if err != nil || began.Before(t.lateUntil) {
+	if err != nil || !began.After(t.lateUntil) {
 		return // A later tick tries again.
 	}
 	t.gone = true
--- a/internal/enforcer/gang_test.go
+++ b/internal/enforcer/gang_test.go
@@ -407,7 +407,7 @@
 //   - hold leaked: expireGang in tickGang
 //   - partial gang after 10 s: g.expires in acceptStart
 //   - started twice: the check of attempts[...].number in Hold
-//   - ended gang that still runs: began.Before(t.lateUntil) in stopTask
+//   - ended gang that still runs: !began.After(t.lateUntil) in stopTask
 //   - older attempt obeyed: the check of ref.Attempt in admit
 //   - older scheduler obeyed: the check of ref.Epoch in admit
 func TestGangProtocol(t *testing.T) {
--- a/internal/enforcer/request_test.go
+++ b/internal/enforcer/request_test.go
@@ -166,7 +166,7 @@
 // that is false, a start without a permit, more requests than slots, and a slot
 // that is lost. Each line below, switched off, makes the test fail (tried one
 // at a time):
-//   - run twice: r.nonIdempotent in the first condition of admitRequest
+//   - run twice: old.nonIdempotent in the first condition of admitRequest
 //   - run after "not run" to Serve: e.refuse's r.refused and record
 //   - run after "not run" to Outcome: r.refused = true in promise
 //   - "not run" after an earlier run: r.earlier in admitRequest
