scheduler: attempts that contradict the view hold back their job; reservations may move

20,000 random runs found a second start of a job under the number of a stray attempt after two takeovers; the job now waits for the end of the found attempt. The head of the queue could be left without reservation by less urgent jobs; it now displaces them. Just started gangs were the cheapest victims; a restart cost is added.

--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -38,7 +38,9 @@
 	leavingAt int64
 	// checkpointed says that the request to stop left time for a checkpoint.
 	checkpointed bool
-	// stray attempts contradict the view and are only stopped.
+	// contradicts says that the attempt was found and contradicts the view; it is only stopped.
+	contradicts bool
+	// stray attempts contradict the view and are not the current attempt of their job.
 	stray     bool
 	startedAt int64
 	// length is the run time expected at the start.
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -17,6 +17,28 @@
 func loaded(workers int, full bool) (*Core, time.Time) {
 	c := &Core{}
 	now := epoch
+	workspaces := workers * 420 / 3400
+	cfg := benchConfig(workers)
+	c.Configure(cfg, now)
+	for i := range workers {
+		c.SetWorker(benchWorker(i), now)
+	}
+	accelerators := int(c.view.total.accelerators)
+	for i := range workers * 12000 / 3400 {
+		ws := cfg.Workspaces[i%workspaces].Name
+		acc := descriptor.Accelerators(0)
+		if full && i < accelerators {
+			acc = 1
+		}
+		j := tasks(ws, "slow", 1, acc, 0, time.Duration(1+i%7)*time.Hour)
+		j.ID = descriptor.JobID(fmt.Sprintf("run%06d", i))
+		must(c.Submit(j, now, now))
+	}
+	settle(c, now)
+	return c, now.Add(time.Hour)
+}
+
+func benchConfig(workers int) *descriptor.Configuration {
 	workspaces := workers * 420 / 3400
 	cfg := &descriptor.Configuration{Classes: []descriptor.Class{class("urgent", time.Minute, 1), class("slow", 8*time.Hour, 1)}}
 	for d := range 10 {
@@ -37,23 +59,7 @@
 	// Workspaces idle and big run nothing, so that their guarantees are lent.
 	cfg.Workspaces = append(cfg.Workspaces, descriptor.Workspace{Name: "none"}, descriptor.Workspace{Name: "idle", Guarantees: []descriptor.Shape{{Accelerators: 8, Adjacency: descriptor.LevelWorker}}})
 	cfg.Workspaces = append(cfg.Workspaces, descriptor.Workspace{Name: "big", Guarantees: []descriptor.Shape{{Accelerators: descriptor.Accelerators(min(256, workers*256/3400)), Adjacency: descriptor.LevelFailureDomain}}})
-	c.Configure(cfg, now)
-	for i := range workers {
-		c.SetWorker(benchWorker(i), now)
-	}
-	accelerators := int(c.view.total.accelerators)
-	for i := range workers * 12000 / 3400 {
-		ws := cfg.Workspaces[i%workspaces].Name
-		acc := descriptor.Accelerators(0)
-		if full && i < accelerators {
-			acc = 1
-		}
-		j := tasks(ws, "slow", 1, acc, 0, time.Duration(1+i%7)*time.Hour)
-		j.ID = descriptor.JobID(fmt.Sprintf("run%06d", i))
-		must(c.Submit(j, now, now))
-	}
-	settle(c, now)
-	return c, now.Add(time.Hour)
+	return cfg
 }
 
 // benchWorker alternates racks of eight-accelerator workers, of one-accelerator workers and of workers without.
--- a/internal/scheduler/cells.go
+++ b/internal/scheduler/cells.go
@@ -134,6 +134,26 @@
 	return best
 }
 
+// misses holds the smallest size that found no node for each level and region. It is valid while slack only shrinks.
+type misses map[missKey]int
+
+type missKey struct {
+	level  descriptor.Level
+	region descriptor.RegionID
+}
+
+func (c *Core) findUnlessMissed(m misses, l *cell) *node {
+	k := missKey{l.level, l.region}
+	if size, ok := m[k]; ok && l.size >= size {
+		return nil
+	}
+	n := c.findNode(l)
+	if n == nil {
+		m[k] = l.size
+	}
+	return n
+}
+
 // violated returns the tightest node at or above n that promises more than it has.
 func violated(n *node) *node {
 	for m := n; m != nil; m = m.parent {
@@ -300,8 +320,9 @@
 		return cmp.Or(cmp.Compare(order(a, b), 0), cmp.Compare(b.region, a.region))
 	})
 	missing := 0
+	m := misses{}
 	for _, l := range sorted {
-		n := c.findNode(l)
+		n := c.findUnlessMissed(m, l)
 		if n == nil {
 			if must == nil || must[l] {
 				missing++
@@ -395,11 +416,12 @@
 // planMissing plans unused cells that have no node and returns how many remain without one.
 func (c *Core) planMissing() int {
 	missing := 0
+	m := misses{}
 	for _, l := range c.cells {
 		if l.planned || l.used > 0 {
 			continue
 		}
-		if n := c.findNode(l); n != nil {
+		if n := c.findUnlessMissed(m, l); n != nil {
 			c.plan(l, n)
 			continue
 		}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -21,7 +21,7 @@
 	refusedDelay    = second / 4
 	refusedDelayMax = 10 * second
 	// searchLimit bounds failed searches for victims in one Decide; less urgent jobs are searched for in the next one.
-	searchLimit = 64
+	searchLimit = 16
 )
 
 // Core decides which job starts, where, and what is reclaimed for it.
@@ -33,11 +33,13 @@
 	// QueueLimit bounds the waiting jobs; 0 means 20,000.
 	QueueLimit int
 
-	now        int64
-	view       view
-	fleet      []descriptor.RackSize
-	classes    map[descriptor.ClassID]*descriptor.Class
-	workspaces map[descriptor.WorkspaceID]*workspace
+	now   int64
+	view  view
+	fleet []descriptor.RackSize
+	// fleetVersion grows when the workers that are known, up or not, change.
+	fleetVersion int
+	classes      map[descriptor.ClassID]*descriptor.Class
+	workspaces   map[descriptor.WorkspaceID]*workspace
 	// cells are those of all workspaces, in the order of workspace names.
 	cells []*cell
 	// planDirty is set when capacity changed in a way that may violate the plan or make more of it possible.
@@ -65,9 +67,11 @@
 	// generation grows whenever capacity or a guarantee becomes free. Failed searches are valid for one generation.
 	generation int
 	freed      bool
-	failed     signatures
-	searches   int
-	reserving  int
+	// failed holds guaranteed placements that found no place in the generation failedOf.
+	failed    signatures
+	failedOf  int
+	searches  int
+	reserving int
 
 	claims       []*attempt
 	stopping     []*attempt
@@ -119,7 +123,7 @@
 // emitStop asks to stop what is left of a.
 func (c *Core) emitStop(a *attempt, reason string, grace int64) {
 	kind := DecisionReclaim
-	if a.stray || a.job.state == StateEnded {
+	if a.contradicts || a.job.state == StateEnded {
 		kind = DecisionStop
 	}
 	d := Decision{Kind: kind, Key: a.job.Key(), Attempt: a.number, Reason: reason, Grace: duration(grace)}
@@ -152,6 +156,7 @@
 		c.classes[k.Name] = &k
 	}
 	c.fleet = c.localFleet(cfg)
+	c.fleetVersion++
 	c.configureWorkspaces(cfg)
 	c.configureOuts(cfg)
 	c.history.prune(c.workspaces)
@@ -317,7 +322,8 @@
 		c.jobs[key] = j
 	}
 	n := c.adopted(j, a)
-	if reason != "" {
+	n.contradicts = reason != ""
+	if n.contradicts && (j == nil || j.state != StateWaiting || j.current != nil || !n.attached()) {
 		c.stopStray(n, reason)
 		return
 	}
@@ -326,6 +332,10 @@
 	}
 	c.dequeue(j)
 	c.takeOver(j, n)
+	if n.contradicts && !n.leaving {
+		// The job waits for the end of this attempt, so that no two attempts run at the same time.
+		c.leave(n, 0, reason)
+	}
 }
 
 func (c *Core) adoptKnown(n *attempt, a Attempt) {
@@ -390,6 +400,9 @@
 
 func (c *Core) stopStray(n *attempt, reason string) {
 	n.stray = true
+	if j := c.jobs[n.job.Key()]; j != nil {
+		j.number = max(j.number, n.number)
+	}
 	c.strays[strayKey{n.job.Key(), n.number}] = n
 	c.attach(n)
 	state := n.job.state
@@ -409,6 +422,9 @@
 		j.state = StateRunning
 	}
 	j.note(c.now, n.number, "Adopted", "found in reports")
+	if n.contradicts {
+		return
+	}
 	if c.Policy == PolicyGuaranteed && !c.charge(n) && j.NonIdempotent && !c.pin(n) {
 		// Work that runs at most once is never reclaimed, even if a guarantee becomes impossible by it.
 		c.harden(n)
@@ -653,7 +669,9 @@
 	}
 	c.freed = false
 	c.fresh, c.unserved = c.fresh[:0], nil
-	c.failed = make(signatures)
+	if c.failedOf != c.generation {
+		c.failed, c.failedOf = make(signatures), c.generation
+	}
 	c.passing = true
 	for _, e := range c.queue {
 		if e.valid() {
@@ -689,14 +707,13 @@
 	if !j.queuedOnly && c.covers(j) {
 		c.lock(j)
 	}
-	if j.reserved != nil || len(c.reservations) >= reservationLimit {
-		return
-	}
-	if c.passing {
+	switch {
+	case j.reserved != nil || !c.mayReserve(j):
+	case c.passing:
 		c.reserve(j)
-		return
+	default:
+		c.unserved = append(c.unserved, j)
 	}
-	c.unserved = append(c.unserved, j)
 }
 
 // reserveBlocked makes reservations for new jobs that could not start. It runs in a Decide without
@@ -706,7 +723,7 @@
 	c.unserved = nil
 	slices.SortFunc(list, func(a, b *job) int { return a.compare(b) })
 	for _, j := range list {
-		if j.waiting && j.reserved == nil && j.notBefore <= c.now && len(c.reservations) < reservationLimit {
+		if j.waiting && j.reserved == nil && j.notBefore <= c.now && c.mayReserve(j) {
 			c.reserve(j)
 		}
 	}
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -45,17 +45,17 @@
 	workers map[descriptor.WorkerID]descriptor.Worker
 	up      map[descriptor.WorkerID]bool
 	jobs    map[descriptor.JobKey]descriptor.Job
+	since   map[descriptor.JobKey]time.Time
 	done    map[descriptor.JobKey]bool
 	active  []*running
-	// failing workers fail everything; bad jobs fail everywhere.
-	next int
+	next    int
 }
 
 func newModel(t interface{ Fatalf(string, ...any) }, cfg descriptor.Configuration, list []descriptor.Worker) *model {
 	m := &model{
 		t: t, core: &Core{}, now: epoch, config: cfg,
 		workers: map[descriptor.WorkerID]descriptor.Worker{}, up: map[descriptor.WorkerID]bool{},
-		jobs: map[descriptor.JobKey]descriptor.Job{}, done: map[descriptor.JobKey]bool{},
+		jobs: map[descriptor.JobKey]descriptor.Job{}, since: map[descriptor.JobKey]time.Time{}, done: map[descriptor.JobKey]bool{},
 	}
 	m.core.Configure(&cfg, m.now)
 	for _, w := range list {
@@ -70,7 +70,7 @@
 	j.ID = descriptor.JobID(fmt.Sprintf("j%04d", m.next))
 	err := m.core.Submit(j, m.now, m.now)
 	if err == nil {
-		m.jobs[j.Key()] = j
+		m.jobs[j.Key()], m.since[j.Key()] = j, m.now
 	}
 	return err
 }
@@ -110,6 +110,43 @@
 	m.core.RemoveWorker(id, m.now)
 }
 
+// takeOver continues with a new core that learns everything from the store and from reports.
+func (m *model) takeOver() {
+	m.core = &Core{}
+	m.core.Configure(&m.config, m.now)
+	for _, w := range m.sortedWorkers() {
+		if m.up[w.ID] {
+			m.core.SetWorker(w, m.now)
+		}
+	}
+	for n := 1; n <= m.next; n++ {
+		for _, ws := range m.config.Workspaces {
+			key := descriptor.JobKey{Workspace: ws.Name, Job: descriptor.JobID(fmt.Sprintf("j%04d", n))}
+			if j, ok := m.jobs[key]; ok && !m.done[key] {
+				if err := m.core.Submit(j, m.since[key].Add(-time.Minute), m.now); err != nil {
+					m.t.Fatalf("accepted job is refused after a takeover: %v", err)
+				}
+			}
+		}
+	}
+	for _, r := range m.active {
+		r.stopping = false
+		m.core.Adopt(Attempt{Job: m.jobs[r.key], Accepted: m.since[r.key], Number: r.number, Placement: r.place, Running: r.started, StartedAt: m.now}, m.now)
+		if m.done[r.key] {
+			_ = m.core.Cancel(r.key, m.now)
+		}
+	}
+}
+
+func (m *model) sortedWorkers() []descriptor.Worker {
+	var out []descriptor.Worker
+	for _, w := range m.workers {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b descriptor.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 func (m *model) out(d descriptor.FailureDomainID) bool {
 	return slices.ContainsFunc(m.config.FailureDomains, func(f descriptor.FailureDomain) bool { return f.Name == d && f.Out })
 }
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -42,7 +42,7 @@
 // step draws one event of the environment.
 func (m *model) step(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapidInt(t, "seconds", 0, 200)) * time.Second)
-	switch rapidInt(t, "event", 0, 11) {
+	switch rapidInt(t, "event", 0, 12) {
 	case 0, 1, 2:
 		for range rapidInt(t, "burst", 1, 4) {
 			_ = m.submit(drawJob(t, len(m.config.Workspaces)))
@@ -57,6 +57,8 @@
 		m.core.Configure(&m.config, m.now)
 	case 9:
 		m.cancelWave(t)
+	case 10:
+		m.takeOver()
 	default:
 		m.answerStops()
 	}
@@ -90,12 +92,8 @@
 }
 
 func (m *model) toggleWorker(t *rapid.T) {
-	var ids []descriptor.WorkerID
-	m.core.view.eachWorker(func(w *worker) bool {
-		ids = append(ids, w.ID)
-		return true
-	})
-	id := ids[rapidInt(t, "worker", 0, len(ids)-1)]
+	list := m.sortedWorkers()
+	id := list[rapidInt(t, "worker", 0, len(list)-1)].ID
 	if m.up[id] {
 		m.lose(id)
 		return
@@ -119,8 +117,8 @@
 	}
 }
 
-// Guards against every violation that the model knows, under random fleets, failures, arrivals, cancellations
-// and failure domains that go and return. Verified by mutation: with repair returning true at once, which
+// Guards against every violation that the model knows, under random fleets, failures, arrivals, cancellations,
+// takeovers and failure domains that go and return. Verified by mutation: with repair returning true at once, which
 // removes the guarantee check, this test fails.
 func TestInvariantsHoldUnderRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -39,6 +39,8 @@
 	failedEnd int64
 	// unfitSince is when the shape was first found too large for the whole fleet.
 	unfitSince int64
+	// fitsFleet is the version of the fleet on which the shape was last found to fit.
+	fitsFleet int
 }
 
 // signature shares the outcome of failed guaranteed placements between equal jobs.
@@ -249,7 +251,7 @@
 	j := c.newJob(d, nanos(accepted))
 	// A job that was accepted before this core knew it may not be refused any more; sweep ends it if it never fits.
 	if c.now-j.accepted < restoredAfter {
-		if reason := c.neverFits(j.shape.resourceShape); reason != "" {
+		if reason := c.unfit(j.shape); reason != "" {
 			c.dropShape(j)
 			return fmt.Errorf("%w: %s", ErrNeverFits, reason)
 		}
@@ -274,6 +276,11 @@
 		c.shapes[k] = j.shape
 	}
 	j.shape.jobs++
+	for k := range c.strays {
+		if k.key == j.Key() {
+			j.number = max(j.number, k.number)
+		}
+	}
 	return j
 }
 
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -14,14 +14,19 @@
 // taskWeight is the weight of a task without accelerators among victims, in accelerators.
 const taskWeight = 1.0 / 16
 
+// restartCost is the work that every reclaim loses by the stop and the next start. Without it, a large gang
+// that has just started would be the cheapest victim of all.
+const restartCost = 30 * second
+
 // lost estimates the work that a loses by a reclaim: run time since the last checkpoint times
 // accelerators. Repeated victims become more expensive, so that no job is the victim for ever.
 func (c *Core) lost(a *attempt) float64 {
-	if !a.running {
-		return 0
+	ran := int64(0)
+	if a.running {
+		ran = c.now - a.startedAt
 	}
 	weight := max(float64(a.job.accelerators()), taskWeight*float64(a.job.Tasks))
-	return float64(c.now-a.startedAt) / float64(second) * weight * float64(1+a.job.reclaims)
+	return float64(ran+restartCost) / float64(second) * weight * float64(1+a.job.reclaims)
 }
 
 // victim is an attempt that may be reclaimed, with its cost.
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -8,14 +8,20 @@
 )
 
 const (
-	// reservationLimit bounds the jobs with a reservation. More would leave less room for backfill.
+	// reservationLimit bounds the jobs with a reservation. More would leave less room for backfill. The first
+	// reservationFirst jobs of the queue get one beyond it, up to reservationMost.
 	reservationLimit = 4
+	reservationFirst = 2
+	reservationMost  = 8
 	// reservationSearches bounds the searches in one Decide, since each looks at all running work,
 	// and reservationRetry is when a search that found nothing is repeated.
 	reservationSearches = 2
 	reservationRetry    = second
 	// reservationRecheck is how often the start of a reservation that is due is estimated again.
 	reservationRecheck = 10 * second
+	// reservationMisses is after how many missed starts another unit is tried. Guaranteed work that never
+	// ends completely keeps its cell, and with it the unit, for ever.
+	reservationMisses = 3
 )
 
 // reservation sets resources aside from a future time for a job that cannot start yet. It stays in its
@@ -27,6 +33,8 @@
 	// start is when the resources are expected to be free.
 	start   int64
 	checkAt int64
+	// misses counts the starts that were not met in this unit.
+	misses int
 }
 
 func (r *reservation) on(w *worker) vector {
@@ -62,6 +70,31 @@
 	return positive(free.lower(beside))
 }
 
+// mayReserve reports whether j may have a reservation beside those of other jobs.
+func (c *Core) mayReserve(j *job) bool {
+	if len(c.reservations) < reservationLimit {
+		return true
+	}
+	first := 0
+	for _, r := range c.reservations {
+		if r.job.before(j) {
+			first++
+		}
+	}
+	return first < reservationFirst
+}
+
+// leastUrgent returns the reservation of the least urgent job behind j, or nil.
+func (c *Core) leastUrgent(j *job) *reservation {
+	var last *reservation
+	for _, r := range c.reservations {
+		if j.before(r.job) && (last == nil || last.job.before(r.job)) {
+			last = r
+		}
+	}
+	return last
+}
+
 // reserve makes a reservation where j can start first.
 func (c *Core) reserve(j *job) {
 	if c.reserving >= reservationSearches || c.now < j.reserveAt {
@@ -69,6 +102,20 @@
 	}
 	c.reserving++
 	j.reserveAt = c.now + reservationRetry
+	best := c.earliest(j, nil)
+	if last := c.leastUrgent(j); last != nil && (best == nil || len(c.reservations) >= reservationMost) {
+		// Less urgent jobs must not keep the first ones from their reservation.
+		c.dropReservation(last)
+	}
+	if best == nil {
+		return
+	}
+	c.addReservation(best)
+	j.note(c.now, 0, "Reserved", "in "+best.node.name+" from "+clock(best.start).Format("15:04:05"))
+}
+
+// earliest returns the reservation for j with the first start, outside of the unit avoid.
+func (c *Core) earliest(j *job, avoid *node) *reservation {
 	var best *reservation
 	loosest := j.Adjacency
 	if j.need.accelerators == 0 {
@@ -76,16 +123,15 @@
 	}
 	for _, d := range c.view.domains {
 		for _, n := range unitsBelow(d, loosest) {
+			if n == avoid {
+				continue
+			}
 			if r := c.reservationIn(j, n, best); r != nil {
 				best = r
 			}
 		}
 	}
-	if best == nil {
-		return
-	}
-	c.addReservation(best)
-	j.note(c.now, 0, "Reserved", "in "+best.node.name+" from "+clock(best.start).Format("15:04:05"))
+	return best
 }
 
 func (c *Core) addReservation(r *reservation) {
@@ -262,17 +308,22 @@
 	}
 }
 
-// renew estimates the start of r again within its unit.
+// renew estimates the start of r again within its unit, and after several missed starts in the other units.
 func (c *Core) renew(r *reservation) {
-	next := c.reservationIn(r.job, r.node, nil)
 	j := r.job
+	next := c.reservationIn(j, r.node, nil)
+	if next != nil {
+		next.misses = r.misses + 1
+	}
+	if next == nil || next.misses >= reservationMisses {
+		if other := c.earliest(j, r.node); other != nil {
+			next = other
+		}
+	}
 	c.dropReservation(r)
 	if next != nil {
 		c.addReservation(next)
 	}
-	if next == nil {
-		c.reserve(j)
-	}
 }
 
 func resetGains(workers []*worker) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -85,7 +85,8 @@
 				}
 			}
 		}
-		t.Fatalf("the large job did not start in 100 rounds: %+v", m.core.reservations)
+		e, _ := m.core.Explain(large, m.now)
+		t.Fatalf("the large job did not start in 100 rounds: %+v", e)
 	})
 }
 
--- a/internal/scheduler/sweep.go
+++ b/internal/scheduler/sweep.go
@@ -31,8 +31,8 @@
 // endUnfit ends waiting jobs whose shape did not fit the whole fleet for unfitGrace.
 func (c *Core) endUnfit() {
 	reasons := make(map[*shape]string)
-	for k, s := range c.shapes {
-		reason := c.neverFits(k)
+	for _, s := range c.shapes {
+		reason := c.unfit(s)
 		switch {
 		case reason == "":
 			s.unfitSince = 0
@@ -52,6 +52,18 @@
 	}
 }
 
+// unfit is neverFits with the last good outcome remembered until the known fleet changes.
+func (c *Core) unfit(s *shape) string {
+	if s.fitsFleet == c.fleetVersion && c.fleetVersion > 0 {
+		return ""
+	}
+	reason := c.neverFits(s.resourceShape)
+	if reason == "" {
+		s.fitsFleet = c.fleetVersion
+	}
+	return reason
+}
+
 // neverFits says why a gang does not fit even when all known and expected workers are up and empty, or
 // returns "". Without any known or expected worker it cannot tell.
 func (c *Core) neverFits(k resourceShape) string {
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -279,6 +279,7 @@
 		c.expire(w)
 		w = nil
 	}
+	c.fleetVersion++
 	if w == nil {
 		w = c.view.add(d)
 		c.restoreHealth(w)
@@ -367,6 +368,7 @@
 		}
 	}
 	c.view.forget(w)
+	c.fleetVersion++
 	c.planDirty = true
 }
 
