replayer: cases of urgent work behind a lock and of a shape occupied by a small job

The auditor kept jobs on different workers in one copy of a shape within one worker, which made one violation out of none; a copy is now tied to the unit of the jobs in it.

--- a/internal/replayer/audit.go
+++ b/internal/replayer/audit.go
@@ -14,6 +14,8 @@
 type guaranteedCopy struct {
 	shape descriptor.Shape
 	free  descriptor.Accelerators
+	// unit is where the jobs that use it run; empty while it is unused.
+	unit string
 }
 
 // auditGuarantees counts violations of guarantees without asking the core: a job that waits for longer than guaranteeBound
@@ -95,11 +97,11 @@
 func (r *replay) pack(j *job, copies []guaranteedCopy) {
 	together := descriptor.Accelerators(0)
 	for i := range copies {
-		if !r.withinOneUnit(j, copies[i].shape.Adjacency) {
+		if !r.mayUse(j, &copies[i]) {
 			continue
 		}
 		if copies[i].free >= j.Accelerators() {
-			copies[i].free -= j.Accelerators()
+			r.use(j, &copies[i], j.Accelerators())
 			return
 		}
 		together += copies[i].free
@@ -108,24 +110,31 @@
 	if together < left {
 		return
 	}
-	for i := len(copies) - 1; i >= 0 && left > 0; i-- {
-		if r.withinOneUnit(j, copies[i].shape.Adjacency) {
+	for i := len(copies) - 1; i >= 0; i-- {
+		if r.mayUse(j, &copies[i]) {
 			n := min(left, copies[i].free)
-			copies[i].free -= n
+			r.use(j, &copies[i], n)
 			left -= n
 		}
 	}
 }
 
-// withinOneUnit reports whether a running job lies within one worker, rack or failure domain.
-func (r *replay) withinOneUnit(j *job, level descriptor.Level) bool {
-	first := unitOf(r.workers[j.placement[0].Worker].Worker, level)
+// mayUse reports whether j lies within one unit of the copy's level, which is that of the jobs that use the copy already.
+func (r *replay) mayUse(j *job, c *guaranteedCopy) bool {
+	first := unitOf(r.workers[j.placement[0].Worker].Worker, c.shape.Adjacency)
 	for _, a := range j.placement[1:] {
-		if unitOf(r.workers[a.Worker].Worker, level) != first {
+		if unitOf(r.workers[a.Worker].Worker, c.shape.Adjacency) != first {
 			return false
 		}
 	}
-	return true
+	return c.unit == "" || c.unit == first
+}
+
+func (r *replay) use(j *job, c *guaranteedCopy, n descriptor.Accelerators) {
+	if n > 0 {
+		c.free -= n
+		c.unit = unitOf(r.workers[j.placement[0].Worker].Worker, c.shape.Adjacency)
+	}
 }
 
 // copiesOf lists the copies of all shapes, the smallest first.
--- a/internal/replayer/replay_test.go
+++ b/internal/replayer/replay_test.go
@@ -96,18 +96,26 @@
 	return tr
 }
 
+func assertNoViolation(t *testing.T, name string) {
+	r, err := Replay(readFile(t, name), scheduler.PolicyGuaranteed)
+	assert.NilError(t, err)
+	assert.Equal(t, r.GuaranteeViolations, 0, "%s: %v", name, r.Violations)
+}
+
 // Guards against a workspace whose guarantee stays lent to others because its waiting job was once reclaimed from borrowed capacity. The trace is cut from beaulieu-bad.
 func TestReclaimedJobKeepsItsGuarantee(t *testing.T) {
-	r, err := Replay(readFile(t, "fault-reclaimed-job.jsonl"), scheduler.PolicyGuaranteed)
-	assert.NilError(t, err)
-	assert.Equal(t, r.GuaranteeViolations, 0, "%v", r.Violations)
+	assertNoViolation(t, "fault-reclaimed-job.jsonl")
 }
 
-// Guards against an unused part of a guarantee that is kept for a larger job which that part cannot hold. The trace is cut from beaulieu-bad.
+// Guards against an unused part of a guarantee that is kept for a larger job which that part cannot hold. The traces are cut from beaulieu-bad.
 func TestRestOfGuaranteeIsNotKeptForLargerJob(t *testing.T) {
-	r, err := Replay(readFile(t, "fault-guarantee-lock.jsonl"), scheduler.PolicyGuaranteed)
-	assert.NilError(t, err)
-	assert.Equal(t, r.GuaranteeViolations, 0, "%v", r.Violations)
+	assertNoViolation(t, "fault-guarantee-lock.jsonl")
+	assertNoViolation(t, "fault-guarantee-lock-urgent.jsonl")
+}
+
+// Guards against a job of 2 accelerators that occupies a guaranteed shape of 8 while one of 4 is unused, so that a job of 8 waits. The trace is cut from beaulieu-bad.
+func TestSmallJobLeavesLargerShapeFree(t *testing.T) {
+	assertNoViolation(t, "fault-occupied-shape.jsonl")
 }
 
 // Guards against policies that miss what the committed traces state. The table is printed with -v.
