--- a/internal/coordinator/jobapi.go
+++ b/internal/coordinator/jobapi.go
@@ -21,13 +21,13 @@
 
 // JobView is what callers see of a job.
 type JobView struct {
-	Job       descriptor.Job
-	Accepted  time.Time
-	State     keeper.JobState
-	Attempt   descriptor.Attempt `json:",omitempty"`
-	Result    descriptor.Result  `json:",omitempty"`
-	Reason    string             `json:",omitempty"`
-	EndedAt   *time.Time         `json:",omitempty"`
+	Job      descriptor.Job
+	Accepted time.Time
+	State    keeper.JobState
+	Attempt  descriptor.Attempt `json:",omitempty"`
+	Result   descriptor.Result  `json:",omitempty"`
+	Reason   string             `json:",omitempty"`
+	EndedAt  *time.Time         `json:",omitempty"`
 }
 
 func viewOf(r keeper.JobRecord) JobView {
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -445,7 +445,9 @@
 			report.PartialGangs++
 		}
 	}
-	isOnce := func(k descriptor.JobKey) bool { return k.Workspace == "retouche" && slices.Contains(onceJobs, string(k.Job)) }
+	isOnce := func(k descriptor.JobKey) bool {
+		return k.Workspace == "retouche" && slices.Contains(onceJobs, string(k.Job))
+	}
 	report.RanTwice += len(faker.DoubleRuns(runs, isOnce))
 }
 
