--- /dev/null
+++ b/cmd/persimmontrail/fault_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/internal/faker"
+	"persimmontrail/pkg/descriptor"
+)
+
+// Guards against a shutdown that cuts requests of callers.
+func TestGracefulStopOfEntryCutsNothing(t *testing.T) {
+	s := smallSystem(t)
+	entry := s.entries[0]
+	const calls = 8
+	results := make(chan error, calls)
+	for i := range calls {
+		go func() {
+			request := descriptor.Request{ID: descriptor.RequestID(fmt.Sprint("r", i)), Workspace: "atelier", Class: "Preview", Body: []byte(`{"ServiceTime":"1s"}`)}
+			var a coordinator.RequestAnswer
+			_, err := send(http.MethodPost, entry.http+"/v1/requests", request, &a)
+			if err == nil && a.Result != descriptor.ResultDone {
+				err = fmt.Errorf("%s: %s", a.Result, a.Reason)
+			}
+			results <- err
+		}()
+	}
+	s.eventually(5*time.Second, "requests run", func() error {
+		busy := 0
+		for _, p := range s.endpoints {
+			var stats faker.EndpointStats
+			if err := get(p.http+"/admin/stats", &stats); err != nil {
+				return err
+			}
+			busy += stats.Busy
+		}
+		if busy < calls {
+			return fmt.Errorf("%d requests run", busy)
+		}
+		return nil
+	})
+	assert.Equal(t, entry.stop(), 0)
+	for range calls {
+		assert.NilError(t, <-results)
+	}
+}
+
+// Guards against an outage of the store that stops idempotent requests or what
+// runs, and against a refusal as not run of work that ran.
+func TestStoreOutage(t *testing.T) {
+	s := smallSystem(t)
+	entry := s.entries[0]
+	assert.NilError(t, s.submit(entry, gangJob("running", 3, 6*time.Second)))
+	s.eventually(5*time.Second, "gang runs", func() error {
+		if n := len(s.runs()); n != 3 {
+			return fmt.Errorf("%d tasks started", n)
+		}
+		return nil
+	})
+	s.switchStore(faker.StoreSwitches{Down: true})
+	began := time.Now()
+	for i := 0; time.Since(began) < 4*time.Second; i++ {
+		assert.NilError(t, s.checkRequest(entry, "Preview", fmt.Sprint("p", i)))
+		<-time.After(100 * time.Millisecond)
+	}
+	request := descriptor.Request{ID: "n1", Workspace: "atelier", Class: "Nesting"}
+	var a coordinator.RequestAnswer
+	_, err := send(http.MethodPost, entry.http+"/v1/requests", request, &a)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Result, descriptor.ResultNotRun, a.Reason)
+	assert.Equal(t, s.requestRuns("n1"), 0)
+	var p coordinator.Problem
+	_, err = send(http.MethodPost, entry.http+"/v1/jobs", gangJob("refused", 1, time.Second), &p)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Result, descriptor.ResultNotRun, p.Error)
+
+	s.switchStore(faker.StoreSwitches{})
+	v := s.awaitJob(entry, "running", 15*time.Second)
+	assert.Equal(t, v.Result, descriptor.ResultDone, v.Reason)
+	s.eventually(5*time.Second, "non-idempotent requests run again", func() error { return s.checkRequest(entry, "Nesting", "n2") })
+	assert.Equal(t, len(s.runs()), 3)
+}
+
+// requestRuns returns how often the endpoint stand-ins ran a request.
+func (s *system) requestRuns(id descriptor.RequestID) int {
+	s.t.Helper()
+	n := 0
+	for _, p := range s.endpoints {
+		var stats faker.EndpointStats
+		assert.NilError(s.t, get(p.http+"/admin/stats", &stats))
+		for _, r := range stats.Runs {
+			if r.Request == id {
+				n += r.Count
+			}
+		}
+	}
+	return n
+}
+
+// Guards against starts in a failure domain that is out, also on an agent that
+// was paused when it was taken out and wakes with its old permit.
+func TestNoStartInRemovedDomainAfterPause(t *testing.T) {
+	s := newSystem(t)
+	s.startEntry(onePlace)
+	sherbrooke := place{region: "qc-sud", domain: "Sherbrooke", rack: "Sherbrooke-1"}
+	for i := range 2 {
+		s.startMachine(fmt.Sprintf("montreal-%d", i), onePlace)
+		s.startMachine(fmt.Sprintf("sherbrooke-%d", i), sherbrooke)
+	}
+	s.apply(testConfiguration())
+	entry := s.entries[0]
+	s.awaitAgents(entry, 4)
+
+	stop := make(chan struct{})
+	submitted := make(chan int)
+	go func() {
+		n := 0
+		for {
+			select {
+			case <-stop:
+				submitted <- n
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			job := gangJob(fmt.Sprint("j", n), 1, 200*time.Millisecond)
+			job.PerTask.Accelerators = 2
+			if s.submit(entry, job) == nil {
+				n++
+			}
+		}
+	}()
+	s.eventually(10*time.Second, "tasks start in Sherbrooke", func() error {
+		if len(faker.StartsIn(s.runs(), "Sherbrooke", time.Time{})) == 0 {
+			return fmt.Errorf("no start yet")
+		}
+		return nil
+	})
+	paused := s.agents[1]
+	paused.signal(syscall.SIGSTOP)
+	code, stdout, stderr := s.run("domain", "out", "--entry", entry.http, "Sherbrooke")
+	accepted := time.Now()
+	assert.Equal(t, code, 0, stdout+stderr)
+	<-time.After(3 * time.Second)
+	paused.signal(syscall.SIGCONT)
+	<-time.After(3 * time.Second)
+	close(stop)
+	n := <-submitted
+	late := faker.StartsIn(s.runs(), "Sherbrooke", accepted.Add(3*time.Second))
+	assert.Equal(t, len(late), 0, "starts after 3 s: %+v", late)
+	for i := range n {
+		v := s.awaitJob(entry, fmt.Sprint("j", i), 60*time.Second)
+		assert.Equal(t, v.Result, descriptor.ResultDone, "%s: %s", v.Job.ID, v.Reason)
+	}
+	assert.Equal(t, len(faker.DoubleRuns(s.runs(), func(descriptor.JobKey) bool { return false })), 0)
+}
