--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -270,6 +270,9 @@
 func (c *Core) overruns() {
 	c.reserving = 0
 	for _, r := range slices.Clone(c.reservations) {
+		if r.job.reserved != r {
+			continue
+		}
 		if c.lostUnit(r) {
 			c.dropReservation(r)
 			continue
@@ -316,6 +319,10 @@
 		next.misses = r.misses + 1
 	}
 	if next == nil || next.misses >= reservationMisses {
+		// Reservations of less urgent jobs must not keep j from moving.
+		for last := c.leastUrgent(j); last != nil; last = c.leastUrgent(j) {
+			c.dropReservation(last)
+		}
 		if other := c.earliest(j, r.node); other != nil {
 			next = other
 		}
