--- /dev/null
+++ b/internal/dispatcher/bench_test.go
@@ -0,0 +1,29 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+func BenchmarkPickDone(b *testing.B) {
+	for _, n := range []int{11, 850} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := start
+			r := newRouter(&now)
+			for i := range n {
+				r.Update(testEndpoint(fmt.Sprint(i), "a", 8), now)
+			}
+			deadline := now.Add(time.Minute)
+			for b.Loop() {
+				c, err := r.Pick("Report", "large", deadline, nil, now)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Done(c, descriptor.ResultDone, time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/replayer/plot.go
+++ b/internal/replayer/plot.go
@@ -98,13 +98,26 @@
 	p.X.Label.Text = x
 	p.Y.Label.Text = y
 	p.Legend.Top = true
+	p.Legend.XOffs = -vg.Centimeter
+	// The space above 100% is for the legend.
+	p.Y.Min, p.Y.Max = 0, 130
+	p.Y.Tick.Marker = steps(0, 100, 20)
 	p.Add(plotter.NewGrid())
 	return p
 }
 
+// steps are ticks at equal distances.
+func steps(from, to, step float64) plot.ConstantTicks {
+	var ticks plot.ConstantTicks
+	for v := from; v <= to; v += step {
+		ticks = append(ticks, plot.Tick{Value: v, Label: fmt.Sprintf("%.0f", v)})
+	}
+	return ticks
+}
+
 func (c *Comparison) overTime(title, unit string, value func(Sample) float64) (*plot.Plot, error) {
 	p := newPlot(title+": "+c.Trace.Header.Name, "time since the start of the trace (h)", unit)
-	p.Y.Min, p.Y.Max = 0, 100
+	p.X.Tick.Marker = steps(0, c.Trace.Header.Duration.Std().Hours(), 3)
 	points := func(r *Report) plotter.XYs {
 		var xys plotter.XYs
 		for _, s := range r.Samples {
