keeper, faker: tests; a lost answer no longer refuses the changes behind it

The property test of changes under lost answers found two faults. After a write with an unknown outcome the changes waiting behind it were refused, although the store answered; they now wait for the next read. A Term whose Release lost its answer still gave a time until which it holds the duty.

--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,436 @@
+package keeper_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"persimmontrail/internal/faker"
+	"persimmontrail/internal/keeper"
+	"persimmontrail/pkg/descriptor"
+)
+
+// client returns a client of the stand-in, as a process of its own would have.
+func client(s *faker.Store) *keeper.Store {
+	return keeper.NewHTTPStoreWith("http://store", &http.Client{Transport: faker.Transport{Handler: s}})
+}
+
+// bubble runs f on virtual time.
+func bubble(t *testing.T, f func(ctx context.Context)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// loseBy loses the answers to writes by a repeated pattern.
+func loseBy(pattern []bool) func() bool {
+	n := 0
+	return func() bool {
+		n++
+		return len(pattern) > 0 && pattern[n%len(pattern)]
+	}
+}
+
+var keyA = descriptor.JobKey{Workspace: "w", Job: "a"}
+
+func job(id string) keeper.JobRecord {
+	return keeper.JobRecord{Job: descriptor.Job{ID: descriptor.JobID(id), Workspace: "w", Class: "Draft", Tasks: 1}}
+}
+
+// Guards against updates that are lost or applied twice when answers are lost and writers race.
+func TestChangesAreAppliedExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pattern := rapid.SliceOfN(rapid.Bool(), 2, 6).Draw(rt, "lost")
+		pattern[0] = false // Some answer arrives.
+		slow := rapid.SampledFrom([]time.Duration{0, 5 * time.Millisecond, 900 * time.Millisecond}).Draw(rt, "slow")
+		writers := rapid.IntRange(1, 4).Draw(rt, "writers")
+		each := rapid.IntRange(1, 5).Draw(rt, "changes")
+		var got keeper.JobRecord
+		errs := make(chan error, 1+writers*each)
+		bubble(t, func(ctx context.Context) {
+			fake := &faker.Store{}
+			first := keeper.Jobs{Store: client(fake), Region: "qc-sud"}
+			r, err := first.Accept(ctx, job("a"))
+			errs <- err
+			fake.LoseWrite = loseBy(pattern)
+			fake.Switch(func(s *faker.StoreSwitches) { s.Slow = descriptor.Duration(slow) })
+			var wg sync.WaitGroup
+			for range writers {
+				jobs := keeper.Jobs{Store: client(fake), Region: "qc-sud"}
+				for range each {
+					wg.Go(func() {
+						_, err := jobs.Change(ctx, r.Job.Key(), func(r *keeper.JobRecord) error { r.Attempt++; return nil })
+						errs <- err
+					})
+				}
+			}
+			wg.Wait()
+			fake.Switch(func(s *faker.StoreSwitches) { s.Slow = 0 })
+			got, err = first.Get(ctx, r.Job.Key())
+			if err != nil {
+				errs <- err
+			}
+		})
+		close(errs)
+		for err := range errs {
+			assert.NilError(rt, err)
+		}
+		assert.Equal(rt, int(got.Attempt), writers*each)
+	})
+}
+
+// Guards against two owners of one claim, and against a claimant that does not recognise its own claim.
+func TestConcurrentClaimsGiveOneOwner(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pattern := rapid.SliceOfN(rapid.Bool(), 2, 5).Draw(rt, "lost")
+		pattern[0] = false
+		claimants := rapid.IntRange(2, 6).Draw(rt, "claimants")
+		type outcome struct {
+			existing keeper.ClaimRecord
+			mine     bool
+			err      error
+		}
+		outcomes := make([]outcome, claimants)
+		bubble(t, func(ctx context.Context) {
+			fake := &faker.Store{LoseWrite: loseBy(pattern)}
+			var wg sync.WaitGroup
+			for i := range outcomes {
+				claims := keeper.Claims{Store: client(fake)}
+				wg.Go(func() {
+					o := &outcomes[i]
+					r := keeper.ClaimRecord{Workspace: "w", ID: "quote", Owner: fmt.Sprint("entry-", i)}
+					o.existing, o.mine, o.err = claims.Claim(ctx, r)
+					if _, again, err := claims.Claim(ctx, r); again != o.mine || err != nil {
+						o.err = errors.Join(o.err, fmt.Errorf("repeated: mine %v, then %v, %w", o.mine, again, err))
+					}
+				})
+			}
+			wg.Wait()
+		})
+		owners := 0
+		for _, o := range outcomes {
+			assert.NilError(rt, o.err)
+			assert.Equal(rt, o.existing.Owner, outcomes[0].existing.Owner)
+			if o.mine {
+				owners++
+			}
+		}
+		assert.Equal(rt, owners, 1)
+	})
+}
+
+// Guards against a second holder while a term lasts, and an epoch that does not grow with a new holder.
+func TestEpochGrowsWithEveryHolder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pattern := rapid.SliceOfN(rapid.Bool(), 2, 5).Draw(rt, "lost")
+		pattern[0] = false
+		steps := rapid.SliceOfN(rapid.IntRange(0, 8), 5, 30).Draw(rt, "steps")
+		var fault string
+		bubble(t, func(ctx context.Context) {
+			fake := &faker.Store{LoseWrite: loseBy(pattern)}
+			var terms [3]*keeper.Term
+			for i := range terms {
+				terms[i] = &keeper.Term{Store: client(fake), Region: "r", Entry: descriptor.EntryID(fmt.Sprint(i))}
+			}
+			var highest descriptor.Epoch
+			holder, acquired := -1, 0
+			for _, n := range steps {
+				i := n % 3
+				switch n / 3 {
+				case 0:
+					epoch, err := terms[i].Acquire(ctx, 3*time.Second)
+					if err != nil {
+						continue
+					}
+					acquired++
+					if epoch < highest || epoch == highest && i != holder {
+						fault = fmt.Sprintf("entry %d got epoch %d after entry %d had %d", i, epoch, holder, highest)
+					}
+					if o := terms[max(holder, 0)]; holder >= 0 && holder != i && time.Now().Before(o.Until()) {
+						fault = fmt.Sprintf("entry %d took the term of entry %d", i, holder)
+					}
+					highest, holder = epoch, i
+				case 1:
+					time.Sleep(2 * time.Second)
+				case 2:
+					_ = terms[i].Release(ctx) // A lost answer is an error; the lease lapses then.
+				}
+			}
+			if steps[0] < 3 && acquired == 0 && !pattern[1] {
+				fault = "nobody got the duty"
+			}
+		})
+		assert.Equal(rt, fault, "")
+	})
+}
+
+// Guards against a compare-and-swap by which two operators both replace one revision, or a change that is reverted.
+func TestReplaceCountsRevisions(t *testing.T) {
+	bubble(t, func(ctx context.Context) {
+		fake := &faker.Store{}
+		fake.Switch(func(s *faker.StoreSwitches) { s.LoseAnswers = 0.5 })
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		accepted := map[descriptor.Revision]string{}
+		for i := range 5 {
+			c := keeper.Configurations{Store: client(fake)}
+			wg.Go(func() {
+				for n := 0; n < 4; {
+					id := fmt.Sprint(i, "-", n)
+					present, err := c.Read(ctx)
+					assert.Check(t, err)
+					got, err := c.Replace(ctx, &descriptor.Configuration{}, present.Revision, id, id)
+					if errors.Is(err, keeper.ErrRevisionChanged) {
+						assert.Check(t, got.Revision > present.Revision)
+						continue
+					}
+					assert.Check(t, err)
+					mu.Lock()
+					assert.Check(t, accepted[got.Revision] == "", "revision %d given to %s and %s", got.Revision, accepted[got.Revision], id)
+					accepted[got.Revision] = id
+					mu.Unlock()
+					n++
+				}
+			})
+		}
+		wg.Wait()
+		c := keeper.Configurations{Store: client(fake)}
+		last, err := c.Read(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, int(last.Revision), 20)
+		assert.Equal(t, accepted[last.Revision], last.AcceptedBy)
+		again, err := c.Replace(ctx, &descriptor.Configuration{}, 2, "x", accepted[3])
+		assert.NilError(t, err)
+		assert.Equal(t, int(again.Revision), 3)
+	})
+}
+
+// Guards against a refusal that promises no effect while the write takes effect later, and against slow refusals.
+func TestRefusalsAreTrue(t *testing.T) {
+	tests := []struct {
+		name     string
+		switches faker.StoreSwitches
+		lose     bool
+		want     error
+		within   time.Duration
+	}{
+		{name: "down", switches: faker.StoreSwitches{Down: true}, want: keeper.ErrUnavailable, within: 50 * time.Millisecond},
+		{name: "slow", switches: faker.StoreSwitches{Slow: descriptor.Duration(5 * time.Second)}, want: keeper.ErrUnavailable, within: time.Second},
+		{name: "over the rate", switches: faker.StoreSwitches{WritesPerSecond: 0.5}, want: keeper.ErrLimited, within: 3 * time.Second},
+		{name: "every answer lost", lose: true, within: 50 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(ctx context.Context) {
+				fake := &faker.Store{LoseWrite: func() bool { return tt.lose }}
+				fake.Switch(func(s *faker.StoreSwitches) { *s = tt.switches })
+				jobs := keeper.Jobs{Store: client(fake), Region: "r"}
+				began := time.Now()
+				_, err := jobs.Accept(ctx, job("a"))
+				assert.Assert(t, errors.Is(err, tt.want), "%v", err)
+				assert.Assert(t, time.Since(began) <= tt.within, "took %s", time.Since(began))
+				fake.Switch(func(s *faker.StoreSwitches) { *s = faker.StoreSwitches{} })
+				time.Sleep(10 * time.Second)
+				all, err := jobs.All(ctx)
+				assert.NilError(t, err)
+				assert.Equal(t, len(all) == 1, tt.want == nil)
+			})
+		})
+	}
+}
+
+// Guards against a caller who gives up during a late write and is told that nothing happened.
+func TestGivingUpDuringAWriteIsUnknown(t *testing.T) {
+	bubble(t, func(ctx context.Context) {
+		fake := &faker.Store{}
+		s := client(fake)
+		put := s.Put
+		s.Put = func(ctx context.Context, key string, data []byte, expect keeper.Version, lease keeper.LeaseID) (keeper.Version, error) {
+			fake.Switch(func(s *faker.StoreSwitches) { s.Slow = descriptor.Duration(4 * time.Second) })
+			return put(ctx, key, data, expect, lease)
+		}
+		short, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		defer cancel()
+		jobs := keeper.Jobs{Store: s, Region: "r"}
+		_, err := jobs.Accept(short, job("a"))
+		assert.Assert(t, errors.Is(err, keeper.ErrOutcomeUnknown), "%v", err)
+		time.Sleep(20 * time.Second)
+		fake.Switch(func(s *faker.StoreSwitches) { s.Slow = 0 })
+		_, err = jobs.Get(ctx, keyA)
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against one store write per change, and against a burst that takes more than the interval of a batch.
+func TestWritesOfOneDocumentAreBatched(t *testing.T) {
+	bubble(t, func(ctx context.Context) {
+		claims := keeper.Claims{Store: client(&faker.Store{})}
+		began := time.Now()
+		var wg sync.WaitGroup
+		for i := range 500 {
+			r := keeper.ClaimRecord{Workspace: "w", ID: descriptor.RequestID(fmt.Sprint(i)), Owner: "e"}
+			wg.Go(func() {
+				_, mine, err := claims.Claim(ctx, r)
+				assert.Check(t, err == nil && mine, "%v", err)
+			})
+		}
+		wg.Wait()
+		puts := claims.Store.Calls()[keeper.CallPut]
+		assert.Assert(t, puts <= 128, "%d writes for 500 claims in 64 documents", puts)
+		assert.Assert(t, time.Since(began) <= 40*time.Millisecond, "%s", time.Since(began))
+	})
+}
+
+// Guards against a document that grows over the store's limit, which would block every change of its jobs.
+func TestFullDocumentRefusesOnlyNewRecords(t *testing.T) {
+	bubble(t, func(ctx context.Context) {
+		fake := &faker.Store{}
+		jobs := keeper.Jobs{Store: client(fake), Region: "r"}
+		var last descriptor.JobKey
+		refused := 0
+		for i := range 80 {
+			r := job(fmt.Sprint(i))
+			r.Job.Payload = bytes.Repeat([]byte("x"), 200_000)
+			_, err := jobs.Accept(ctx, r)
+			if err == nil {
+				last = r.Job.Key()
+				continue
+			}
+			assert.Assert(t, errors.Is(err, keeper.ErrTooLarge), "%v", err)
+			refused++
+		}
+		assert.Assert(t, refused > 0 && fake.Stats().LargestValue <= 900_000)
+		_, err := jobs.Change(ctx, last, func(r *keeper.JobRecord) error {
+			r.State, r.Reason = keeper.JobEnded, strings.Repeat("x", 1000)
+			return nil
+		})
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against records that stay for ever, and against outcomes that are forgotten too early or replaced.
+func TestEndedRecordsAreDeletedAfterADay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		s := client(&faker.Store{})
+		claims := keeper.Claims{Store: s}
+		claim := func(owner string) bool {
+			_, mine, err := claims.Claim(ctx, keeper.ClaimRecord{Workspace: "w", ID: "q", Owner: owner})
+			assert.NilError(t, err)
+			return mine
+		}
+		assert.Assert(t, claim("a"))
+		assert.NilError(t, claims.Finish(ctx, "w", "q", descriptor.ResultUnknown, ""))
+		time.Sleep(48 * time.Hour)
+		assert.Assert(t, !claim("b"), "an unknown outcome stays")
+		assert.NilError(t, claims.Finish(ctx, "w", "q", descriptor.ResultDone, ""))
+		assert.NilError(t, claims.Finish(ctx, "w", "q", descriptor.ResultNotRun, ""))
+		r, err := claims.Lookup(ctx, "w", "q")
+		assert.NilError(t, err)
+		assert.Equal(t, r.Result, descriptor.ResultDone)
+		time.Sleep(23 * time.Hour)
+		assert.Assert(t, !claim("b"))
+		time.Sleep(2 * time.Hour)
+		assert.Assert(t, claim("c"))
+
+		jobs := keeper.Jobs{Store: s, Region: "r"}
+		_, err = jobs.Accept(ctx, job("a"))
+		assert.NilError(t, err)
+		_, err = jobs.Change(ctx, keyA, func(r *keeper.JobRecord) error { r.State = keeper.JobEnded; return nil })
+		assert.NilError(t, err)
+		again, err := jobs.Accept(ctx, job("a"))
+		assert.NilError(t, err)
+		assert.Equal(t, again.State, keeper.JobEnded)
+		time.Sleep(25 * time.Hour)
+		again, err = jobs.Accept(ctx, job("a"))
+		assert.NilError(t, err)
+		assert.Equal(t, again.State, keeper.JobQueued)
+		other := job("a")
+		other.Job.Tasks = 2
+		_, err = jobs.Accept(ctx, other)
+		assert.Assert(t, errors.Is(err, keeper.ErrJobDiffers), "%v", err)
+	})
+}
+
+// Guards against an entry that stays registered after it died or left, or is lost although it renews.
+func TestMembership(t *testing.T) {
+	bubble(t, func(ctx context.Context) {
+		fake := &faker.Store{}
+		fake.Switch(func(s *faker.StoreSwitches) { s.LoseAnswers = 0.5 })
+		members := keeper.Members{Store: client(fake)}
+		names := func() string {
+			list, err := members.List(ctx)
+			assert.NilError(t, err)
+			var b strings.Builder
+			for _, m := range list {
+				b.WriteString(string(m.Entry))
+			}
+			return b.String()
+		}
+		a, err := members.Join(ctx, keeper.Member{Entry: "a"}, 3*time.Second)
+		assert.NilError(t, err)
+		_, err = members.Join(ctx, keeper.Member{Entry: "b"}, 3*time.Second)
+		assert.NilError(t, err)
+		fake.Switch(func(s *faker.StoreSwitches) { s.LoseAnswers = 0 })
+		assert.Equal(t, names(), "ab")
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, a.Renew(ctx))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, names(), "a")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, names(), "")
+		assert.NilError(t, a.Renew(ctx))
+		assert.Equal(t, names(), "a")
+		assert.NilError(t, a.Leave(ctx))
+		assert.Equal(t, names(), "")
+	})
+}
+
+// Guards against a watch that misses a change, and one that costs a call per moment instead of per wait.
+func TestWatchReturnsChanges(t *testing.T) {
+	bubble(t, func(ctx context.Context) {
+		s := client(&faker.Store{})
+		c := keeper.Configurations{Store: s}
+		began := time.Now()
+		go func() {
+			time.Sleep(5 * time.Second)
+			_, err := c.Replace(ctx, &descriptor.Configuration{}, 0, "op", "1")
+			assert.Check(t, err)
+		}()
+		got, _, err := c.Watch(ctx, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, int(got.Revision), 1)
+		assert.Equal(t, time.Since(began), 5*time.Second)
+		assert.Equal(t, int(s.Calls()[keeper.CallWatch]), 3)
+	})
+}
+
+// Guards against a refused connection that counts as an unknown outcome, and a lost answer that counts as no effect.
+func TestOutcomeOfBrokenConnections(t *testing.T) {
+	fake := &faker.Store{LoseWrite: func() bool { return true }}
+	server := httptest.NewServer(fake)
+	s := keeper.NewHTTPStore(server.URL)
+	_, err := s.Put(t.Context(), "a", []byte("{}"), 0, "")
+	assert.Assert(t, errors.Is(err, keeper.ErrOutcomeUnknown), "%v", err)
+	_, v, err := s.Get(t.Context(), "a")
+	assert.NilError(t, err)
+	assert.Equal(t, int(v), 1)
+	server.Close()
+	_, err = s.Put(t.Context(), "b", []byte("{}"), 0, "")
+	assert.Assert(t, errors.Is(err, keeper.ErrUnavailable), "%v", err)
+	assert.Equal(t, int(fake.Stats().Calls["Put"]), 1)
+}
--- a/internal/keeper/term.go
+++ b/internal/keeper/term.go
@@ -159,10 +159,12 @@
 	return err
 }
 
-// Release ends the term, so that another entry can take the duty at once.
+// Release ends the term, so that another entry can take the duty at once. Also after an error the caller no longer
+// holds the duty; the lease then lapses by itself, or Release is repeated.
 func (t *Term) Release(ctx context.Context) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.epoch, t.until = 0, time.Time{}
 	if t.lease == "" {
 		return nil
 	}
--- a/internal/keeper/writing.go
+++ b/internal/keeper/writing.go
@@ -34,6 +34,9 @@
 		return w.failed(err)
 	}
 	if w.unknown && v == w.base {
+		if time.Since(w.since) > resolveTimeout {
+			return w.endAll(fmt.Errorf("%w: no answer to the write of %s", ErrOutcomeUnknown, w.queue.key))
+		}
 		// The unknown write may still be on its way. Writing the same again is safe: at most one of them matches base.
 		return w.put()
 	}
@@ -171,7 +174,9 @@
 	if !w.unknown {
 		w.unknown, w.since = true, time.Now()
 	}
-	return w.failed(err)
+	// A lost answer says nothing about the store, so the changes behind this batch wait for the next read.
+	w.sleep()
+	return true
 }
 
 // expose records whether a write that holds the batch may take effect. It reports false, without exposing, when a
