Claims: a late outcome does not end a later claim

Cause: an outcome was recorded by the request's id alone. A claim that ended as NotRun gives way to a new one, so a repeated NotRun of the first would have ended the second while it runs. Change: outcomes name the owner of the claim. Payloads of jobs are limited to 8,000 bytes, so that a job document stays under 1 MB at the target.

--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -334,11 +334,11 @@
 			return mine
 		}
 		assert.Assert(t, claim("a"))
-		assert.NilError(t, claims.Finish(ctx, "w", "q", descriptor.ResultUnknown, ""))
+		assert.NilError(t, claims.Finish(ctx, "w", "q", "a", descriptor.ResultUnknown, ""))
 		time.Sleep(48 * time.Hour)
 		assert.Assert(t, !claim("b"), "an unknown outcome stays")
-		assert.NilError(t, claims.Finish(ctx, "w", "q", descriptor.ResultDone, ""))
-		assert.NilError(t, claims.Finish(ctx, "w", "q", descriptor.ResultNotRun, ""))
+		assert.NilError(t, claims.Finish(ctx, "w", "q", "a", descriptor.ResultDone, ""))
+		assert.NilError(t, claims.Finish(ctx, "w", "q", "a", descriptor.ResultNotRun, ""))
 		r, err := claims.Lookup(ctx, "w", "q")
 		assert.NilError(t, err)
 		assert.Equal(t, r.Result, descriptor.ResultDone)
@@ -434,3 +434,24 @@
 	assert.Assert(t, errors.Is(err, keeper.ErrUnavailable), "%v", err)
 	assert.Equal(t, int(fake.Stats().Calls["Put"]), 1)
 }
+
+// Guards against a late outcome of an earlier claim that ends a later one: a
+// retry after NotRun would then be told NotRun while it runs.
+func TestLateOutcomeDoesNotEndLaterClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		claims := keeper.Claims{Store: client(&faker.Store{})}
+		claim := func(owner string) bool {
+			_, mine, err := claims.Claim(ctx, keeper.ClaimRecord{Workspace: "w", ID: "q", Owner: owner})
+			assert.NilError(t, err)
+			return mine
+		}
+		assert.Assert(t, claim("a"))
+		assert.NilError(t, claims.Finish(ctx, "w", "q", "a", descriptor.ResultNotRun, "agent is leaving"))
+		assert.Assert(t, claim("b"), "a claim that ended as NotRun gives way")
+		assert.NilError(t, claims.Finish(ctx, "w", "q", "a", descriptor.ResultNotRun, "repeated"))
+		r, err := claims.Lookup(ctx, "w", "q")
+		assert.NilError(t, err)
+		assert.Equal(t, r.Result, descriptor.Result(""))
+	})
+}
--- a/pkg/validator/validator.go
+++ b/pkg/validator/validator.go
@@ -17,8 +17,9 @@
 
 // Limits of what is accepted.
 const (
-	// MaxPayload keeps a job bucket of the store, 1 MB, far larger than one job.
-	MaxPayload = 32_000
+	// MaxPayload in bytes. A job document of the store holds up to about 100 jobs
+	// that have not ended, at the target size in one region, within 1 MB.
+	MaxPayload = 8_000
 	// MaxBody is the largest body of a request in bytes.
 	MaxBody = 1_000_000
 	// MaxName is the longest name or id in bytes.
