--- /dev/null
+++ b/internal/demonstrator/work.go
@@ -0,0 +1,97 @@
+package demonstrator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/internal/faker"
+	"persimmontrail/pkg/descriptor"
+)
+
+// sendRequests sends requests of one class at an even rate, alternating between the entries.
+func (r *run) sendRequests(ctx context.Context, class string, count int) {
+	var calls sync.WaitGroup
+	for i := range count {
+		calls.Go(func() { r.sendRequest(ctx, class, i) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(8 * time.Second / time.Duration(count)):
+		}
+	}
+	calls.Wait()
+}
+
+func (r *run) sendRequest(ctx context.Context, class string, i int) {
+	workspaces := []descriptor.WorkspaceID{"atelier", "couture", "retouche"}
+	request := descriptor.Request{
+		ID:        descriptor.RequestID(fmt.Sprintf("%s-%d", class, i)),
+		Workspace: workspaces[i%len(workspaces)],
+		Class:     descriptor.ClassID(class),
+		Body:      fmt.Appendf(nil, `{"ServiceTime":"%dms"}`, 20+i%50),
+	}
+	began := time.Now()
+	var a coordinator.RequestAnswer
+	if _, err := r.call(ctx, i, http.MethodPost, "/v1/requests", request, &a); err != nil && a.Result == "" {
+		a.Result = descriptor.ResultUnknown
+	}
+	expected := faker.ExpectedAnswer(request.Workspace, request.ID, request.Body)
+	sent := sentRequest{request: request, class: class, result: a.Result, whole: bytes.Equal(a.Body, expected)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, sent)
+	r.elapsed[class] = append(r.elapsed[class], time.Since(began).Seconds())
+}
+
+// submitJobs submits gangs of three workspaces to both regions.
+func (r *run) submitJobs(ctx context.Context) error {
+	jobs := []descriptor.Job{
+		{Workspace: "atelier", Class: "Draft", Tasks: 2, PerTask: descriptor.Resources{Accelerators: 8, Cores: 8, Memory: 8000}, Adjacency: descriptor.LevelRack},
+		{Workspace: "atelier", Class: "Draft", Tasks: 3, PerTask: descriptor.Resources{Accelerators: 4, Cores: 4, Memory: 4000}, Adjacency: descriptor.LevelRack},
+		{Workspace: "couture", Class: "Draft", Tasks: 1, PerTask: descriptor.Resources{Accelerators: 8, Cores: 8, Memory: 8000}, Adjacency: descriptor.LevelWorker},
+		{Workspace: "couture", Class: "Overnight", Tasks: 4, PerTask: descriptor.Resources{Accelerators: 1, Cores: 2, Memory: 2000}},
+		{Workspace: "retouche", Class: "Overnight", Tasks: 2, PerTask: descriptor.Resources{Accelerators: 2, Cores: 2, Memory: 2000}},
+		{Workspace: "retouche", Class: "Draft", Tasks: 1, PerTask: descriptor.Resources{Accelerators: 1, Cores: 1, Memory: 1000}, NonIdempotent: true},
+	}
+	for i := range 18 {
+		job := jobs[i%len(jobs)]
+		job.ID = descriptor.JobID(fmt.Sprintf("job-%d", i))
+		job.DeclaredRunTime = descriptor.Duration(time.Duration(800+100*(i%7)) * time.Millisecond)
+		var v coordinator.JobView
+		if _, err := r.call(ctx, i, http.MethodPost, "/v1/jobs", job, &v); err != nil {
+			return fmt.Errorf("submit job %s: %w", job.ID, err)
+		}
+		r.jobs = append(r.jobs, job.Key())
+	}
+	r.say("submitted %d gang jobs of 3 workspaces", len(r.jobs))
+	return nil
+}
+
+// awaitJobs waits until the entries say that all jobs have ended.
+func (r *run) awaitJobs(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for _, k := range r.jobs {
+		for {
+			var v coordinator.JobView
+			_, err := r.call(ctx, 0, http.MethodGet, "/v1/jobs/"+string(k.Workspace)+"/"+string(k.Job), nil, &v)
+			if err == nil && v.EndedAt != nil {
+				if v.Result != descriptor.ResultDone {
+					r.say("job %s: %s: %s", k, v.Result, v.Reason)
+				}
+				r.elapsed[string(v.Job.Class)] = append(r.elapsed[string(v.Job.Class)], v.EndedAt.Sub(v.Accepted).Seconds())
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("job %s is %s: %w", k, v.State, ctx.Err())
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
