scheduler: baseline does not read counts below skipped nodes

Cause: a search does not visit nodes below one without enough free resources, and ends early after a perfect fit. First fit then looked at all units and read counts of an earlier search there.

Change: the baseline's search visits all nodes that can help, and first fit descends only into nodes whose own count is enough.

The guaranteed policy is unchanged.

--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -95,6 +95,8 @@
 	total   int
 	// enough is set when looking further would not give a better place that is worth the time.
 	enough bool
+	// exhaustive searches visit all nodes, so that every fit is set that a parent counts.
+	exhaustive bool
 }
 
 func (s *search) scan(nodes []*node) {
@@ -127,7 +129,7 @@
 	if s.request.limit != nil {
 		n.fit = s.request.limit(n, n.fit)
 	}
-	s.enough = n.level == descriptor.LevelRack && s.worker != nil && s.perfect()
+	s.enough = !s.exhaustive && n.level == descriptor.LevelRack && s.worker != nil && s.perfect()
 	if n.fit >= s.request.job.Tasks && n.level >= s.loosest {
 		s.offer(n)
 	}
@@ -277,18 +279,29 @@
 
 // firstFit is the placement of PolicyBaseline: the first unit in the order of names that holds the gang.
 func (c *Core) firstFit(j *job) []span {
-	s := search{core: c, request: c.free(j, 0), loosest: j.Adjacency}
+	s := search{core: c, request: c.free(j, 0), loosest: j.Adjacency, exhaustive: true}
 	s.scan(c.view.domains)
-	var units []*node
-	for _, d := range c.view.domains {
-		units = append(units, unitsBelow(d, j.Adjacency)...)
-	}
 	if j.need.accelerators == 0 && s.total >= j.Tasks {
 		return number(takeInOrder(c.view.domains, j.Tasks))
 	}
-	for _, n := range units {
-		if n.fit >= j.Tasks {
-			return number(takeInOrder([]*node{n}, j.Tasks))
+	if n := firstUnit(c.view.domains, j.Adjacency, j.Tasks); n != nil {
+		return number(takeInOrder([]*node{n}, j.Tasks))
+	}
+	return nil
+}
+
+// firstUnit returns the first node of level l that holds tasks. It does not look below nodes without
+// fit, because the search has skipped those and their fits are of an earlier one.
+func firstUnit(list []*node, l descriptor.Level, tasks int) *node {
+	for _, n := range list {
+		if n.fit < tasks {
+			continue
+		}
+		if n.level == l {
+			return n
+		}
+		if m := firstUnit(n.children, l, tasks); m != nil {
+			return m
 		}
 	}
 	return nil
