scheduler: reclaimed jobs keep their guarantee; the lock keeps only cells that its job can use

Cause: a reclaimed job could never reclaim again (queuedOnly), also when its workspace's guarantee was unused. The workspace lock kept every cell for the first waiting job that fits one, also cells too small for it, cells that stay in use for longer than a later job runs, and while its class had no share left.

Change: queuedOnly is removed. A victim whose workspace has an unused guarantee is charged to it and another place is searched, so that reclaims do not cascade through jobs that their own guarantee holds. The lock keeps a cell only when its job can hold it, and lets shorter work use the rest of a cell that is in use.

--- a/internal/scheduler/cells.go
+++ b/internal/scheduler/cells.go
@@ -61,6 +61,8 @@
 	// lock is the first waiting job that fits in one cell. Later jobs of the workspace may not
 	// take the guarantee before it, so that a large job is not starved by its own workspace.
 	lock *job
+	// charged are the attempts that use the guarantee, in the order in which they were charged.
+	charged []*attempt
 }
 
 // plan counts the rest of l at n.
@@ -477,10 +479,44 @@
 	if ws == nil || !c.mayClaim(ws, j, ws.claimedBy[j.Class]) {
 		return false
 	}
-	if ws.lock != nil && ws.lock != j && !j.before(ws.lock) {
+	open := 0
+	for _, l := range ws.cells {
+		if !c.keptForLock(l, j) {
+			open += l.residual()
+		}
+	}
+	return open >= j.accelerators()
+}
+
+// lockedBefore reports whether the lock of ws keeps a part of the guarantee from j.
+func (c *Core) lockedBefore(ws *workspace, j *job) bool {
+	return ws.lock != nil && ws.lock != j && !j.before(ws.lock) && c.mayClaim(ws, ws.lock, ws.claimedBy[ws.lock.Class])
+}
+
+// keptForLock reports whether l is kept for a more urgent job of the workspace than j. A cell that the other job
+// cannot use, or cannot use before j is expected to end, is not kept.
+func (c *Core) keptForLock(l *cell, j *job) bool {
+	ws := l.workspace
+	if !c.lockedBefore(ws, j) || !l.mayHold(ws.lock) {
 		return false
 	}
-	return ws.total-ws.used >= j.accelerators()
+	return l.residual() >= ws.lock.accelerators() || c.cellEnd(l) < c.now+c.remaining(j)
+}
+
+// mayHold reports whether l can hold the whole gang of j when nothing uses it.
+func (l *cell) mayHold(j *job) bool {
+	return l.size >= j.accelerators() && l.level >= j.Adjacency && j.allows(l.region)
+}
+
+// cellEnd is when the last attempt that uses l is expected to end.
+func (c *Core) cellEnd(l *cell) int64 {
+	end := c.now
+	for _, a := range l.workspace.charged {
+		if slices.ContainsFunc(a.charges, func(h charge) bool { return h.cell == l }) {
+			end = max(end, c.expectedEnd(a))
+		}
+	}
+	return end
 }
 
 // mayClaim reports whether the class may claim the accelerators of j beside those that it has claimed.
@@ -496,12 +532,10 @@
 // covers reports whether one cell of the workspace can hold the whole gang.
 func (c *Core) covers(j *job) bool {
 	ws := c.workspaces[j.Workspace]
-	if ws == nil || !c.mayClaim(ws, j, 0) {
+	if ws == nil || !c.mayClaim(ws, j, ws.claimedBy[j.Class]) {
 		return false
 	}
-	return slices.ContainsFunc(ws.cells, func(l *cell) bool {
-		return (l.planned || l.used > 0) && l.size >= j.accelerators() && l.level >= j.Adjacency && j.allows(l.region)
-	})
+	return slices.ContainsFunc(ws.cells, func(l *cell) bool { return (l.planned || l.used > 0) && l.mayHold(j) })
 }
 
 // charge puts a on the guarantee of its workspace and makes it firm.
@@ -544,6 +578,10 @@
 		return false
 	}
 	c.planDirty = false
+	if len(a.charges) > 0 {
+		ws := a.charges[0].cell.workspace
+		ws.charged = append(ws.charged, a)
+	}
 	for _, h := range a.charges {
 		h.cell.workspace.claimedBy[a.job.Class] += h.count
 	}
@@ -588,6 +626,8 @@
 		h.cell.workspace.claimedBy[a.job.Class] -= h.count
 		c.use(h.cell, -h.count)
 	}
+	ws := a.charges[0].cell.workspace
+	ws.charged = without(ws.charged, a)
 	a.charges = nil
 	c.planDirty = true
 	c.capacityFreed()
@@ -615,7 +655,7 @@
 	var best *cell
 	var at *node
 	for _, l := range ws.cells {
-		if !l.planned || l.residual() < need {
+		if !l.planned || l.residual() < need || c.keptForLock(l, a.job) {
 			continue
 		}
 		n := common(a.spans, l.level)
@@ -661,7 +701,7 @@
 	}
 	for _, bound := range []bool{true, false} {
 		for _, l := range ws.cells {
-			if l.planned && (l.used > 0) == bound && l.residual() > 0 {
+			if l.planned && (l.used > 0) == bound && l.residual() > 0 && !c.keptForLock(l, a.job) {
 				c.chargePart(a, l, left)
 			}
 		}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -705,7 +705,7 @@
 	if j.notBefore > c.now || c.tryStart(j) {
 		return
 	}
-	if !j.queuedOnly && c.covers(j) {
+	if c.covers(j) {
 		c.lock(j)
 	}
 	switch {
@@ -751,7 +751,7 @@
 	} else if c.startBorrowed(j) {
 		return true
 	}
-	if !entitled || j.queuedOnly {
+	if !entitled {
 		return false
 	}
 	if c.searches >= searchLimit {
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -137,11 +137,8 @@
 		e.fact("accelerators that the class may claim", float64(class.Share)*float64(ws.total), "")
 		e.fact("of these claimed", float64(ws.claimedBy[j.Class]), "")
 	}
-	switch {
-	case ws.lock != nil && ws.lock != j && ws.lock.before(j):
+	if c.lockedBefore(ws, j) {
 		e.Remedies = append(e.Remedies, "the guarantee is kept for the more urgent "+ws.lock.Key().String())
-	case j.queuedOnly:
-		e.Remedies = append(e.Remedies, "the job was reclaimed and waits for free capacity; it may not reclaim from others")
 	}
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -85,9 +85,7 @@
 	notBefore int64
 	failures  []failure
 	refusals  int
-	// queuedOnly is set on victims: they wait for free capacity and never reclaim, so that reclaims do not cascade.
-	queuedOnly bool
-	reclaims   int
+	reclaims  int
 	// ranFor is the run time before the latest checkpoint.
 	ranFor  int64
 	records []record
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -297,6 +297,10 @@
 	}
 	victims := s.needed(spans)
 	s.reset()
+	if c.promoteAny(victims) {
+		// The victims that are left may be in other places.
+		return c.reclaimIn(s, n)
+	}
 	a := &attempt{job: j, spans: spans}
 	if !c.charge(a) {
 		return false
@@ -304,13 +308,25 @@
 	c.claim(a)
 	for _, v := range victims {
 		v.job.reclaims++
-		v.job.queuedOnly = true
 		c.leave(v, reclaimGrace, "guarantee of "+string(j.Workspace)+" needed for "+j.Key().String())
 	}
 	c.startClaims()
 	return true
 }
 
+// promoteAny puts victims on unused guarantees of their own workspaces, where they may not be reclaimed. Otherwise
+// they would wait and reclaim in turn, although their guarantee was unused.
+func (c *Core) promoteAny(victims []*attempt) bool {
+	promoted := false
+	for _, a := range victims {
+		if c.entitled(a.job) && c.charge(a) {
+			a.job.note(c.now, a.number, "Guaranteed", "on the guarantee of "+string(a.job.Workspace))
+			promoted = true
+		}
+	}
+	return promoted
+}
+
 // needed drops the victims, the most expensive first, without which the placement still fits.
 func (s *reclaimSearch) needed(spans []span) []*attempt {
 	wanted := make(map[*worker]vector, len(spans))
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -305,7 +305,6 @@
 			if !afterLeaving(s.worker).minus(r.on(s.worker)).negative() {
 				break
 			}
-			v.attempt.job.queuedOnly = true
 			c.leave(v.attempt, reclaimGrace, "ran longer than expected, into the reservation of "+r.job.Key().String())
 		}
 	}
