scheduler: running work moves to other cells of its guarantee for a larger job

Cause: an attempt stays charged to the cell that it got at its start. A job of 2 accelerators then occupied a shape of 8 after one of 4 had become unused.

Change: when a job that its guarantee should hold finds no place, the charges of its workspace are assigned anew, the largest attempt first. The change is undone from a saved plan unless a cell then holds the job.

Tried first: undoing by charging each attempt to its former cells again.

--- a/internal/scheduler/cells.go
+++ b/internal/scheduler/cells.go
@@ -578,14 +578,20 @@
 		return false
 	}
 	c.planDirty = false
-	if len(a.charges) > 0 {
-		ws := a.charges[0].cell.workspace
-		ws.charged = append(ws.charged, a)
+	c.noteCharged(a)
+	return true
+}
+
+// noteCharged counts the charges of a for its class and its workspace.
+func (c *Core) noteCharged(a *attempt) {
+	if len(a.charges) == 0 {
+		return
 	}
+	ws := a.charges[0].cell.workspace
+	ws.charged = append(ws.charged, a)
 	for _, h := range a.charges {
-		h.cell.workspace.claimedBy[a.job.Class] += h.count
+		ws.claimedBy[a.job.Class] += h.count
 	}
-	return true
 }
 
 // pin makes a firm without a guarantee, when all guarantees still fit beside it.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -758,7 +758,7 @@
 		c.freed = true
 		return false
 	}
-	if c.startByReclaim(j) {
+	if c.startByReclaim(j) || c.regroup(j) && c.startByReclaim(j) {
 		return true
 	}
 	c.searches++
--- /dev/null
+++ b/internal/scheduler/regrant.go
@@ -0,0 +1,114 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+)
+
+// cellState is the place and the use of a cell in a saved plan.
+type cellState struct {
+	node    *node
+	planned bool
+	used    int
+}
+
+// savedPlan is the plan and the use of one workspace's guarantee, for undoing a change that does not help.
+type savedPlan struct {
+	workspace  *workspace
+	cells      []cellState
+	charged    []*attempt
+	charges    [][]charge
+	planDirty  bool
+	freed      bool
+	generation int
+}
+
+func (c *Core) savePlan(ws *workspace) savedPlan {
+	s := savedPlan{workspace: ws, charged: slices.Clone(ws.charged), planDirty: c.planDirty, freed: c.freed, generation: c.generation}
+	for _, l := range c.cells {
+		s.cells = append(s.cells, cellState{l.node, l.planned, l.used})
+	}
+	for _, a := range s.charged {
+		s.charges = append(s.charges, slices.Clone(a.charges))
+	}
+	return s
+}
+
+// restorePlan undoes everything since savePlan. Nothing may have started in between.
+func (c *Core) restorePlan(s savedPlan) {
+	for _, a := range slices.Clone(s.workspace.charged) {
+		c.withdraw(a)
+	}
+	for i, l := range c.cells {
+		c.setCell(l, s.cells[i])
+	}
+	for i, a := range s.charged {
+		a.charges = s.charges[i]
+		c.noteCharged(a)
+		c.harden(a)
+	}
+	c.planDirty, c.freed, c.generation = s.planDirty, s.freed, s.generation
+}
+
+// setCell gives l its saved place and use.
+func (c *Core) setCell(l *cell, s cellState) {
+	if l.node == s.node && l.planned == s.planned && l.used == s.used {
+		return
+	}
+	if l.planned {
+		l.planned = false
+		l.node.spend(-l.residual())
+	}
+	l.workspace.used += s.used - l.used
+	l.used = s.used
+	if l.node != s.node {
+		l.unbind()
+		l.node = s.node
+		if l.node != nil {
+			l.node.cells = append(l.node.cells, l)
+		}
+	}
+	if s.planned {
+		l.planned = true
+		l.node.spend(l.residual())
+	}
+}
+
+// withdraw takes a off its guarantee, so that it runs on borrowed capacity.
+func (c *Core) withdraw(a *attempt) {
+	c.discharge(a)
+	c.soften(a)
+}
+
+// regroup assigns the running work of a workspace to its cells anew, the largest first, so that a whole cell
+// becomes unused where possible. It reports whether a cell can hold j now that could not before.
+func (c *Core) regroup(j *job) bool {
+	ws := c.workspaces[j.Workspace]
+	if len(ws.charged) == 0 || ws.holds(j) {
+		return false
+	}
+	saved := c.savePlan(ws)
+	list := slices.Clone(ws.charged)
+	slices.SortStableFunc(list, func(a, b *attempt) int { return cmp.Compare(b.job.accelerators(), a.job.accelerators()) })
+	for _, a := range list {
+		c.withdraw(a)
+	}
+	for _, a := range list {
+		if !c.charge(a) {
+			c.restorePlan(saved)
+			return false
+		}
+	}
+	if !ws.holds(j) {
+		c.restorePlan(saved)
+		return false
+	}
+	return true
+}
+
+// holds reports whether the rest of a planned cell holds the whole gang of j.
+func (ws *workspace) holds(j *job) bool {
+	return slices.ContainsFunc(ws.cells, func(l *cell) bool {
+		return l.planned && l.mayHold(j) && l.residual() >= j.accelerators()
+	})
+}
