--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -705,7 +705,7 @@
 	if j.notBefore > c.now || c.tryStart(j) {
 		return
 	}
-	if !j.queuedOnly && c.covers(j) {
+	if c.covers(j) {
 		c.lock(j)
 	}
 	switch {
@@ -751,14 +751,14 @@
 	} else if c.startBorrowed(j) {
 		return true
 	}
-	if !entitled || j.queuedOnly {
+	if !entitled {
 		return false
 	}
 	if c.searches >= searchLimit {
 		c.freed = true
 		return false
 	}
-	if c.startByReclaim(j) {
+	if c.startByReclaim(j) || c.regroup(j) && c.startByReclaim(j) {
 		return true
 	}
 	c.searches++
