--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -111,6 +111,7 @@
 			p.statusCommand(),
 			p.auditCommand(),
 			p.demoCommand(),
+			p.loadCommand(),
 			p.keysCommand(),
 			p.versionCommand(),
 		},
--- /dev/null
+++ b/internal/commander/load.go
@@ -0,0 +1,93 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmontrail/internal/loader"
+	"persimmontrail/pkg/validator"
+)
+
+func (p *Program) loadCommand() *ffcli.Command {
+	f := newFlags("load")
+	o := loader.Options{Progress: p.Stderr}
+	agents := f.String("agents", "50", "numbers of agents, separated by commas")
+	entries := f.String("entries", "1", "numbers of entries, separated by commas")
+	tasks := f.String("tasks", "0", "numbers of running tasks per agent, separated by commas")
+	workspaces := f.String("workspaces", "4", "numbers of workspaces, separated by commas")
+	f.IntVar(&o.Gang, "gang", 1, "tasks of a job that runs for the whole trial")
+	f.Float64Var(&o.Urgent, "urgent", 2, "urgent jobs a second during the measurement")
+	f.Float64Var(&o.Requests, "requests", 5, "requests a second during the measurement")
+	f.IntVar(&o.Changes, "changes", 3, "changes of the configuration during the measurement")
+	f.DurationVar(&o.Settle, "settle", 3*time.Second, "time between the last start and the measurement")
+	f.DurationVar(&o.Measure, "measure", 10*time.Second, "duration of the measurement")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of the order of submissions")
+	output := f.String("output", "table", "output: table or json")
+	report := f.String("report", "", "file for the report in JSON")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "persimmontrail load [flags]",
+		ShortHelp:  "Measure deployments of several sizes on loopback and print what each role takes.",
+		LongHelp: `Runs each combination of agents, entries, tasks and workspaces, one after the other, with the stand-ins of the
+platform. Entries and one agent have processes of their own; the other agents share processes. Example:
+  persimmontrail load --agents 50,150,400 --tasks 0,2,4 --measure 10s --report load.json`,
+		FlagSet:     f,
+		Subcommands: []*ffcli.Command{p.loadAgentsCommand()},
+		Exec: func(ctx context.Context, _ []string) error {
+			var faults [4]error
+			o.Agents, faults[0] = parseSizes("agents", *agents)
+			o.Entries, faults[1] = parseSizes("entries", *entries)
+			o.Tasks, faults[2] = parseSizes("tasks", *tasks)
+			o.Workspaces, faults[3] = parseSizes("workspaces", *workspaces)
+			var outputFault error
+			if *output != "table" && *output != "json" {
+				outputFault = validator.Errors{{Field: "output", Reason: fmt.Sprintf("is %q, want table or json", *output)}}
+			}
+			if err := joinFaults(faults[0], faults[1], faults[2], faults[3], outputFault); err != nil {
+				return err
+			}
+			r, err := loader.Measure(ctx, o)
+			if err != nil {
+				return err
+			}
+			if *report != "" {
+				if err := writeReport(*report, r); err != nil {
+					return err
+				}
+			}
+			if *output == "table" {
+				return r.Print(p.Stdout)
+			}
+			e := json.NewEncoder(p.Stdout)
+			e.SetIndent("", "  ")
+			return e.Encode(r)
+		},
+	}
+}
+
+func parseSizes(field, text string) ([]int, error) {
+	var sizes []int
+	for _, part := range splitList(text) {
+		n, err := strconv.Atoi(part)
+		if err != nil {
+			return nil, validator.Errors{{Field: field, Reason: fmt.Sprintf("%q is no number", part)}}
+		}
+		sizes = append(sizes, n)
+	}
+	return sizes, nil
+}
+
+func (p *Program) loadAgentsCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "agents",
+		ShortUsage: "persimmontrail load agents < group.json",
+		ShortHelp:  "Run the agents of a trial that share a process; load starts it.",
+		FlagSet:    newFlags("agents"),
+		Exec:       func(ctx context.Context, _ []string) error { return loader.RunGroup(ctx, p.Stdin, p.Stdout) },
+	}
+}
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -89,6 +89,12 @@
 	for kind, n := range e.client.Bytes() {
 		fmt.Fprintf(w, "persimmontrail_message_bytes_total{kind=%q} %d\n", kind, n)
 	}
+	for kind, n := range e.server.Bytes() {
+		fmt.Fprintf(w, "persimmontrail_served_bytes_total{kind=%q} %d\n", kind, n)
+	}
+	for call, n := range e.store.Calls() {
+		fmt.Fprintf(w, "persimmontrail_store_calls_total{call=%q} %d\n", call, n)
+	}
 }
 
 // caller is who sent a request.
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,139 @@
+// Package loader measures a deployment on loopback: real entries and agents in
+// processes of their own, with the stand-ins of the platform in this process.
+package loader
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"persimmontrail/pkg/validator"
+)
+
+// Limits of one run. They keep a trial within one machine that others share.
+const (
+	maxAgents   = 600
+	maxEntries  = 5
+	maxTasks    = 8
+	maxDuration = 10 * time.Minute
+	maxRate     = 200.0
+	// groupSize is the number of agents that share a process.
+	groupSize = 200
+)
+
+// Options of a series of runs. Every combination of Agents, Entries, Tasks and Workspaces is one run.
+type Options struct {
+	// Agents, Entries and Workspaces are the sizes of the deployments.
+	Agents, Entries, Workspaces []int
+	// Tasks are the numbers of running tasks per agent.
+	Tasks []int
+	// Gang is the number of tasks of a job that runs for the whole trial.
+	Gang int
+	// Urgent jobs and requests a second during the measurement.
+	Urgent, Requests float64
+	// Changes of the configuration during the measurement.
+	Changes int
+	// Settle is the time between the last start and the measurement, which takes Measure.
+	Settle, Measure time.Duration
+	// Seed makes the order of submissions repeatable.
+	Seed uint64
+	// Program is the persimmontrail binary that entries and agents run.
+	Program string
+	// Progress receives one line for each step.
+	Progress io.Writer
+}
+
+// Validate returns all faults of the options together.
+func (o *Options) Validate() error {
+	var faults validator.Errors
+	sizes := func(field string, values []int, low, high int) {
+		if len(values) == 0 {
+			faults = append(faults, validator.FieldError{Field: field, Reason: "must name at least one size"})
+		}
+		for _, v := range values {
+			if v < low || v > high {
+				faults = append(faults, validator.FieldError{Field: field, Reason: fmt.Sprintf("is %d, want %d to %d", v, low, high)})
+			}
+		}
+	}
+	sizes("agents", o.Agents, 2, maxAgents)
+	sizes("entries", o.Entries, 1, maxEntries)
+	sizes("tasks", o.Tasks, 0, maxTasks)
+	sizes("workspaces", o.Workspaces, 1, validator.MaxWorkspaces)
+	sizes("gang", []int{o.Gang}, 1, 256)
+	sizes("changes", []int{o.Changes}, 0, 1000)
+	for field, rate := range map[string]float64{"urgent": o.Urgent, "requests": o.Requests} {
+		if rate < 0 || rate > maxRate {
+			faults = append(faults, validator.FieldError{Field: field, Reason: fmt.Sprintf("is %g, want 0 to %g a second", rate, maxRate)})
+		}
+	}
+	if o.Measure < time.Second || o.Settle < 0 || o.Measure+o.Settle > maxDuration {
+		faults = append(faults, validator.FieldError{Field: "measure", Reason: fmt.Sprintf("must be at least 1s and, with settle, at most %v", maxDuration)})
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	return faults
+}
+
+// Size is what one run measured.
+type Size struct {
+	Agents, Entries, TasksPerAgent, Workspaces int
+}
+
+// Report is the result of a series of runs.
+type Report struct {
+	Seed   uint64
+	Began  time.Time
+	Runs   []Run
+	Slopes []Slope `json:",omitempty"`
+	// NotCounted says what the byte counts leave out.
+	NotCounted string
+}
+
+// notCounted describes the transport's counters.
+const notCounted = "bytes are the payload and framing of messages, sent plus received; headers of QUIC, UDP and IP, acknowledgements, " +
+	"handshakes and HTTP with workers, endpoints, store and callers are not counted"
+
+// Measure makes all runs, one after the other.
+func Measure(ctx context.Context, o Options) (*Report, error) {
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	if o.Progress == nil {
+		o.Progress = io.Discard
+	}
+	if o.Program == "" {
+		program, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		o.Program = program
+	}
+	r := &Report{Seed: o.Seed, Began: time.Now(), NotCounted: notCounted}
+	for _, size := range o.sizes() {
+		run, err := o.run(ctx, size)
+		if err != nil {
+			return nil, fmt.Errorf("run with %+v: %w", size, err)
+		}
+		r.Runs = append(r.Runs, *run)
+	}
+	r.Slopes = slopes(r.Runs)
+	return r, nil
+}
+
+func (o *Options) sizes() []Size {
+	var all []Size
+	for _, w := range o.Workspaces {
+		for _, e := range o.Entries {
+			for _, a := range o.Agents {
+				for _, t := range o.Tasks {
+					all = append(all, Size{Agents: a, Entries: e, TasksPerAgent: t, Workspaces: w})
+				}
+			}
+		}
+	}
+	return all
+}
