coordinator: an entry votes only after a read since it joined

Cause: an entry counted as voter once it had read the configuration at any time since its start. An entry that read revision N, after which N+1 was stored and accepted over a roster without that entry, then joined and could form a majority for N with another entry without the store. Ruled out: the rule registrar.Acceptable; it holds for every entry that the roster lists when it is read after the write. Change: a vote needs a read that began after the entry's own joining was written, and the result of the read is in force before the vote counts. Before: TestVoteNeedsReadAfterJoining fails, the entry votes for revision 1 while 2 is accepted. After: passes. Conclusion: a member that the accepting entry did not see cannot vote for an older revision.

--- a/internal/coordinator/basis.go
+++ b/internal/coordinator/basis.go
@@ -75,10 +75,11 @@
 	return !b.storeAt.IsZero() && now.Sub(b.storeAt) < storeLimit
 }
 
-func (b *basis) hasReadStore() bool {
+// hasReadSince reports whether a successful read of the store began after t.
+func (b *basis) hasReadSince(t time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.storeAt.IsZero()
+	return b.storeAt.After(t)
 }
 
 // configuration returns the highest configuration seen; it may be nil before the first one.
--- /dev/null
+++ b/internal/coordinator/fault_test.go
@@ -0,0 +1,146 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/registrar"
+	"persimmontrail/pkg/descriptor"
+)
+
+// memoryStore is a store without leases in the memory of a test.
+type memoryStore struct {
+	mu       sync.Mutex
+	data     map[string][]byte
+	versions map[string]keeper.Version
+	// hang makes every call wait until its context ends.
+	hang bool
+}
+
+func (m *memoryStore) get(ctx context.Context, key string) ([]byte, keeper.Version, error) {
+	if m.isHanging() {
+		<-ctx.Done()
+		return nil, 0, keeper.ErrUnavailable
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.versions[key] == 0 {
+		return nil, 0, keeper.ErrNotFound
+	}
+	return m.data[key], m.versions[key], nil
+}
+
+func (m *memoryStore) isHanging() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hang
+}
+
+func (m *memoryStore) put(_ context.Context, key string, data []byte, expect keeper.Version, _ keeper.LeaseID) (keeper.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.versions[key] != expect {
+		return 0, keeper.ErrConflict
+	}
+	m.data[key] = data
+	m.versions[key]++
+	return m.versions[key], nil
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{data: map[string][]byte{}, versions: map[string]keeper.Version{}}
+}
+
+// store returns a client; each entry needs its own.
+func (m *memoryStore) store() *keeper.Store {
+	down := func(context.Context, time.Duration) (keeper.LeaseID, error) { return "", keeper.ErrUnavailable }
+	return &keeper.Store{Get: m.get, Put: m.put, GrantLease: down}
+}
+
+func noCall(context.Context, string, messenger.Kind, any, any) error { return messenger.ErrNotSent }
+
+func testEntry(m *memoryStore, name descriptor.EntryID, call CallFunc) *Entry {
+	e := newEntry(Settings{Name: name, Region: "qc-sud", FailureDomain: "Montreal", Store: m.store(), Call: call, Now: time.Now})
+	e.address = string(name)
+	return e
+}
+
+func testConfiguration(revision descriptor.Revision, out bool) *descriptor.Configuration {
+	return &descriptor.Configuration{
+		Revision:       revision,
+		Workspaces:     []descriptor.Workspace{{Name: "atelier"}},
+		Classes:        []descriptor.Class{{Name: "Preview", FinishWithin: descriptor.Duration(8 * time.Second), Share: 1, Service: "measurement"}},
+		FailureDomains: []descriptor.FailureDomain{{Name: "Montreal", Region: "qc-sud", Out: out}, {Name: "Sherbrooke", Region: "qc-sud"}},
+	}
+}
+
+// Guards against a permit on an old revision after a newer one was accepted: an
+// entry read the configuration, the change was stored and accepted over a roster
+// without that entry, and the entry joined and voted for what it had read before.
+// Fails when message does not compare the read with the joining (readSinceJoined).
+func TestVoteNeedsReadAfterJoining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		m := newMemoryStore()
+		operators := keeper.Configurations{Store: m.store()}
+		_, err := operators.Replace(ctx, testConfiguration(0, false), 0, "jana", "w1")
+		assert.NilError(t, err)
+		e := testEntry(m, "entry-c", noCall)
+		e.confirmByStore(ctx)
+		assert.Equal(t, e.basis.revision(), descriptor.Revision(1))
+		_, err = operators.Replace(ctx, testConfiguration(1, true), 1, "jana", "w2")
+		assert.NilError(t, err)
+		accepted := &registrar.Roster{Sequence: 2, Members: []registrar.Member{{Entry: "entry-a", Joined: 1, Seen: 1}, {Entry: "entry-b", Joined: 2, Seen: 2}}}
+		assert.Assert(t, registrar.Acceptable(accepted, map[descriptor.EntryID]bool{"entry-a": true}))
+		time.Sleep(time.Millisecond)
+		e.peers.renew(ctx)
+		assert.Assert(t, !e.peers.message().Voter, "votes for revision %d, read before it joined", e.basis.revision())
+		time.Sleep(time.Millisecond)
+		e.confirmByStore(ctx)
+		assert.Equal(t, e.basis.revision(), descriptor.Revision(2))
+		assert.Assert(t, e.peers.message().Voter)
+	})
+}
+
+// activeDuty makes e the scheduler with one gang at agent m that runs at most once.
+func activeDuty(ctx context.Context, e *Entry) (*termState, *gang) {
+	d := &e.duty
+	e.adopt(testConfiguration(1, false))
+	e.basis.confirm(1, e.now(), true)
+	e.jobs.complete = true
+	job := descriptor.Job{ID: "n", Workspace: "atelier", Class: "Preview", Tasks: 1, NonIdempotent: true, PerTask: descriptor.Resources{Accelerators: 1}}
+	e.jobs.put(keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobRunning, Attempt: 1, Epoch: epochOfTerm(1)})
+	ref := messenger.GangRef{Key: job.Key(), Attempt: 1, Epoch: epochOfTerm(1)}
+	e.agents.update(testReport("m", 1, messenger.TaskReport{Gang: ref, Tasks: []int{0}, Members: 1, Confirmed: true, State: messenger.TaskRunning}), e.now())
+	d.activate(epochOfTerm(1), true)
+	d.step(ctx)
+	return d.running, d.running.gangs[job.Key()]
+}
+
+func testReport(agent string, sequence uint64, tasks ...messenger.TaskReport) messenger.Report {
+	return messenger.Report{
+		Agent: agent, Sequence: sequence, Full: true, Address: agent, Region: "qc-sud", FailureDomain: "Montreal",
+		State: messenger.AgentServing, Tasks: tasks,
+		Worker: &descriptor.Worker{ID: descriptor.WorkerID(agent), Rack: "r", FailureDomain: "Montreal", Region: "qc-sud", Accelerators: 8},
+	}
+}
+
+// pendingEnds counts the ends of jobs that wait to become durable.
+func (w *recordWriter) pendingEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.pending)
+}
+
+// finishDuty ends the goroutines of a duty whose loop does not run.
+func finishDuty(e *Entry) {
+	e.duty.endTerm()
+	e.duty.drain()
+}
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -29,7 +29,10 @@
 	roster *registrar.Roster
 	// renewedAt is when that renewal began.
 	renewedAt time.Time
-	left      bool
+	// joined is the sequence with which the roster lists this entry, joinedAt a moment after that was written.
+	joined   int64
+	joinedAt time.Time
+	left     bool
 	// heard holds the last message of each peer and when it arrived.
 	heard map[descriptor.EntryID]heardPeer
 }
@@ -67,12 +70,12 @@
 		e.metrics.Count("store_errors_total", "call", "configuration")
 		return
 	}
-	e.basis.storeRead(began)
-	if cfg.Revision == 0 {
-		return
+	if cfg.Revision > 0 {
+		e.adopt(cfg)
+		e.basis.confirm(cfg.Revision, began, true)
 	}
-	e.adopt(cfg)
-	e.basis.confirm(cfg.Revision, began, true)
+	// A vote rests on this read, so it counts only once its result is in force.
+	e.basis.storeRead(began)
 }
 
 // adopt takes over a configuration if it is newer.
@@ -140,6 +143,22 @@
 	if began.After(p.renewedAt) {
 		p.renewedAt = began
 	}
+	for _, m := range roster.Members {
+		if m.Entry == s.Name && m.Joined > p.joined {
+			p.joined = m.Joined
+			p.joinedAt = p.entry.now()
+		}
+	}
+}
+
+// isVoter reports whether this entry's answer may confirm a revision. It must have
+// read the configuration after it joined: a change that was accepted over a roster
+// without this entry was stored before it joined, so such a read has found it.
+func (p *peers) isVoter(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hasRenewed := !p.renewedAt.IsZero() && now.Sub(p.renewedAt) < registrar.VoteLimit
+	return !p.left && hasRenewed && !p.joinedAt.IsZero() && p.entry.basis.hasReadSince(p.joinedAt)
 }
 
 // leave removes the entry from the roster. From then on it does not vote.
@@ -174,9 +193,10 @@
 	e := p.entry
 	now := e.now()
 	age, fromStore := e.basis.age(now)
+	// The revision is read after the vote: it is then at least the one that the vote rests on.
+	voter := p.isVoter(now)
 	p.mu.Lock()
 	left := p.left
-	renewedAt := p.renewedAt
 	p.mu.Unlock()
 	return messenger.Peer{
 		Entry:      e.settings.Name,
@@ -185,7 +205,7 @@
 		Revision:   e.basis.revision(),
 		StoreBasis: fromStore && age < permitLifetime,
 		BasisAge:   age,
-		Voter:      !left && e.basis.hasReadStore() && !renewedAt.IsZero() && now.Sub(renewedAt) < registrar.VoteLimit,
+		Voter:      voter,
 		Scheduler:  e.duty.isActive(),
 		Epoch:      e.duty.epochSeen(),
 		Leaving:    left,
