coordinator: the router gets the newest of two configurations adopted at once

Cause: adopt raised the basis and then configured the router with its own revision. Two adoptions at once (store read and message of a peer) could configure the router in the opposite order, so that requests went to a failure domain that was out until the next change. Ruled out: the basis itself, which never goes back. Change: the router takes the newest configuration of the basis under a lock. Before: TestRouterKeepsNewestOfConcurrentRevisions picks an endpoint in the removed domain. After: passes.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -42,11 +42,13 @@
 	peers          peers
 	agents         agentTable
 	router         dispatcher.Router
-	jobs           jobCache
-	duty           schedulingDuty
-	metrics        recorder.Metrics
-	trail          recorder.Trail
-	startedAt      time.Time
+	// routing is held while the router takes over a configuration.
+	routing   sync.Mutex
+	jobs      jobCache
+	duty      schedulingDuty
+	metrics   recorder.Metrics
+	trail     recorder.Trail
+	startedAt time.Time
 	// writes numbers this entry's changes of the configuration, so that each can be recognised.
 	writes atomic.Int64
 	// leaving is set when a graceful shutdown begins.
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"persimmontrail/internal/dispatcher"
 	"persimmontrail/internal/keeper"
 	"persimmontrail/internal/messenger"
 	"persimmontrail/internal/registrar"
@@ -109,6 +110,32 @@
 	})
 }
 
+// Guards against a router that goes back to an older revision when two are
+// adopted at the same time. Fails when adopt configures the router with its own
+// revision instead of the newest one.
+func TestRouterKeepsNewestOfConcurrentRevisions(t *testing.T) {
+	m := newMemoryStore()
+	e := testEntry(m, "entry-a", noCall)
+	nested := false
+	e.now = func() time.Time {
+		if e.basis.revision() == 2 && !nested {
+			// The newer revision arrives between the basis and the router.
+			nested = true
+			e.adopt(testConfiguration(3, true))
+		}
+		return time.Now()
+	}
+	e.adopt(testConfiguration(2, false))
+	assert.Assert(t, nested)
+	now := time.Now()
+	e.router.Update(dispatcher.EndpointState{
+		Agent: "m", Address: "m", Sequence: 1, Endpoint: "m", Service: "measurement", FailureDomain: "Montreal",
+		Region: "qc-sud", Slots: 8, Connections: 8, Healthy: true,
+	}, now)
+	_, err := e.router.Pick("Preview", "atelier", now.Add(time.Second), nil, now)
+	assert.ErrorIs(t, err, dispatcher.ErrNoEndpoint)
+}
+
 // activeDuty makes e the scheduler with one gang at agent m that runs at most once.
 func activeDuty(ctx context.Context, e *Entry) (*termState, *gang) {
 	d := &e.duty
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -85,10 +85,19 @@
 	}
 	e.log.Info("configuration in force", "revision", cfg.Revision, "by", cfg.AcceptedBy)
 	e.audit("configuration", "in force", "revision "+formatRevision(cfg.Revision)+" by "+cfg.AcceptedBy)
-	e.router.Configure(cfg, e.now())
+	e.configureRouter()
 	e.duty.wake()
 }
 
+// configureRouter hands the newest configuration to the router. The lock keeps
+// a concurrent adoption from handing over an older one later.
+func (e *Entry) configureRouter() {
+	now := e.now()
+	e.routing.Lock()
+	defer e.routing.Unlock()
+	e.router.Configure(e.basis.configuration(), now)
+}
+
 // loop renews the membership and exchanges messages with the other entries.
 func (p *peers) loop(ctx context.Context) {
 	var renewals sync.WaitGroup
