coordinator: a Stop refused for its epoch settles nothing

Cause: stopMember took every refusal for a member that does not run. An agent refuses the Stop of an older epoch while the member runs under the newer scheduler; the outdated scheduler then recorded a job that runs at most once as ended with an unknown outcome, and its result was lost. Ruled out: the agent; it refuses the older epoch and names the newer one. Change: after a refusal that names a newer epoch, stopMember waits for the end of the term, which the newer epoch causes, and no outcome is recorded. Before: TestOutdatedSchedulerEndsNoJob finds a pending end. Conclusion: of two schedulers, only the one with the newest epoch ends jobs.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -171,3 +171,24 @@
 	e.duty.endTerm()
 	e.duty.drain()
 }
+
+// Guards against an outdated scheduler that ends a job because an agent refused
+// its Stop as one of an older epoch, while the job runs under the newer scheduler.
+// Fails when stopMember takes an answer with a newer epoch for a stopped member.
+func TestOutdatedSchedulerEndsNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refuse := func(_ context.Context, _ string, _ messenger.Kind, _, answer any) error {
+			*answer.(*messenger.GangAnswer) = messenger.GangAnswer{Refusal: "stale epoch", Epoch: epochOfTerm(2)}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", refuse)
+		term, g := activeDuty(t.Context(), e)
+		assert.Assert(t, g != nil)
+		e.duty.stop(term, g, 0, stoppedEvent(g, "reclaimed"))
+		synctest.Wait()
+		e.duty.runCommands()
+		assert.Assert(t, e.duty.isOutdated())
+		assert.Equal(t, e.duty.records.pendingEnds(), 0)
+		finishDuty(e)
+	})
+}
--- a/internal/coordinator/gang.go
+++ b/internal/coordinator/gang.go
@@ -244,6 +244,11 @@
 		cancel()
 		if err == nil {
 			d.observeEpoch(a.Epoch)
+			if !a.OK && a.Epoch > g.ref.Epoch {
+				// A newer scheduler decides about the member; this term ends and the outcome with it.
+				<-ctx.Done()
+				return false
+			}
 			if !a.OK || a.State.Ended() {
 				return a.NeverStarted
 			}
