coordinator: a scheduler that resumes after a pause begins a new term

The scheduler stopped all gangs, ended jobs that run at most once as unknown and queued the others again, although their agents were served by other entries and their tasks ran. Ruled out: agents; they refuse the starts of an older epoch, but with the store down and no successor the epoch of the paused scheduler is still the newest. Change: a gap of more than 5 s between two steps of the loop ends the term, and decisions wait for three reports after it, as after a start of the process. Before: both tests TestResumedScheduler... fail (one Stop sent; decisions at once). Conclusion: silence that the scheduler's own pause explains ends no job.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -22,6 +22,10 @@
 	// adoptionTime is how long a new scheduler collects reports before it stops
 	// gangs that are not complete: three reports.
 	adoptionTime = 1500 * time.Millisecond
+	// pauseLimit is the longest gap between two steps of the loop after which the
+	// view still counts. It is what lostLimit leaves above the 30 s after which an
+	// agent that hears no entry stops its tasks.
+	pauseLimit = 5 * time.Second
 )
 
 // errNotScheduler means that the entry does not schedule its region now.
@@ -53,9 +57,12 @@
 	settledAt time.Time
 
 	// The fields below belong to the loop.
-	running    *termState
-	lastSweep  time.Time
-	background sync.WaitGroup
+	running   *termState
+	lastSweep time.Time
+	lastStep  time.Time
+	// listeningSince is when the process started or last resumed after a pause.
+	listeningSince time.Time
+	background     sync.WaitGroup
 }
 
 // termState is what the scheduler builds anew in each term.
@@ -163,6 +170,7 @@
 
 // step brings the core up to date and carries out its decisions.
 func (d *schedulingDuty) step(ctx context.Context) {
+	d.checkPause(d.entry.now())
 	active, epoch := d.state()
 	if d.running != nil && (!active || d.running.epoch != epoch) {
 		d.endTerm()
@@ -190,9 +198,22 @@
 	}
 }
 
+// checkPause ends the term after a pause of the process. No report was handled
+// meanwhile, so every agent looks silent although its tasks run.
+func (d *schedulingDuty) checkPause(now time.Time) {
+	if d.lastStep.IsZero() {
+		d.listeningSince = d.entry.startedAt
+	}
+	if !d.lastStep.IsZero() && now.Sub(d.lastStep) > pauseLimit {
+		d.listeningSince = now
+		d.deactivate("the process was paused")
+	}
+	d.lastStep = now
+}
+
 // mayDecide reports whether the view is complete enough and starts are permitted.
 func (d *schedulingDuty) mayDecide(t *termState, now time.Time) bool {
-	heardAll := now.Sub(d.entry.startedAt) > adoptionTime
+	heardAll := now.Sub(d.listeningSince) > adoptionTime
 	return heardAll && d.entry.jobs.isComplete() && t.revision > 0 && d.entry.basis.permit(now).ValidFor > 0 && len(t.orphans) == 0
 }
 
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -192,3 +192,49 @@
 		finishDuty(e)
 	})
 }
+
+// Guards against a scheduler that resumes after a long pause, takes all agents
+// for lost because no report was handled meanwhile, and ends or repeats their jobs.
+// Fails when step does not end the term after a gap longer than pauseLimit.
+func TestResumedSchedulerTakesNoAgentForLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stops := 0
+		count := func(_ context.Context, _ string, kind messenger.Kind, _, answer any) error {
+			if kind == messenger.KindStop {
+				stops++
+				*answer.(*messenger.GangAnswer) = messenger.GangAnswer{OK: true, State: messenger.TaskStopped}
+			}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", count)
+		_, g := activeDuty(t.Context(), e)
+		assert.Assert(t, g != nil)
+		time.Sleep(lostLimit + time.Second)
+		e.duty.step(t.Context())
+		synctest.Wait()
+		e.duty.runCommands()
+		assert.Equal(t, stops, 0)
+		assert.Equal(t, e.duty.records.pendingEnds(), 0)
+		finishDuty(e)
+	})
+}
+
+// Guards against a resumed scheduler that starts queued jobs again before the
+// agents have reported what runs. Fails when mayDecide counts only from the start
+// of the process.
+func TestResumedSchedulerWaitsForReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := testEntry(newMemoryStore(), "entry-a", noCall)
+		activeDuty(t.Context(), e)
+		time.Sleep(lostLimit + time.Second)
+		e.duty.step(t.Context())
+		e.duty.activate(epochOfTerm(1), true)
+		e.basis.confirm(1, e.now(), true)
+		e.duty.step(t.Context())
+		assert.Assert(t, !e.duty.mayDecide(e.duty.running, e.now()))
+		time.Sleep(adoptionTime + time.Millisecond)
+		e.basis.confirm(1, e.now(), true)
+		assert.Assert(t, e.duty.mayDecide(e.duty.running, e.now()))
+		finishDuty(e)
+	})
+}
