coordinator: an incomplete gang holds up a new scheduler for 0.7 s, not 1.5 s

Cause: a new scheduler decides nothing while a reported attempt lacks members, and waited 1.5 s for them. With the lapse of the lease (1.2 s) and its retry (0.3 s) urgent work could start only after 3 s; the bound is 2.8 s. Ruled out: a shorter lease; it would lapse on a slow answer of the store. Change: the wait for missing members is one report and its way, 0.7 s. Entries hear all agents also while they do not schedule, so the members that exist are known by then. Decisions after a start or pause still wait for three reports. Before: TestIncompleteGangDelaysTakeoverLittle still waits after 0.9 s. After: it decides. Conclusion: a gang that the dead scheduler left between hold and confirm does not push urgent work past its bound.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -19,9 +19,12 @@
 	decideInterval = 100 * time.Millisecond
 	// sweepInterval is the time between checks for silent agents and overdue members.
 	sweepInterval = 500 * time.Millisecond
-	// adoptionTime is how long a new scheduler collects reports before it stops
-	// gangs that are not complete: three reports.
+	// adoptionTime is how long an entry listens to reports before it decides: three reports.
 	adoptionTime = 1500 * time.Millisecond
+	// orphanWait is how long a scheduler waits for the missing members of a reported
+	// attempt: one periodic report and its way. No decision is made meanwhile, and of
+	// the 2.8 s for urgent work the lapse of the lease and its retry take up to 1.5 s.
+	orphanWait = 700 * time.Millisecond
 	// pauseLimit is the longest gap between two steps of the loop after which the
 	// view still counts. It is what lostLimit leaves above the 30 s after which an
 	// agent that hears no entry stops its tasks.
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -238,3 +238,31 @@
 		finishDuty(e)
 	})
 }
+
+// Guards against urgent work that waits for the members of a gang which the
+// dead scheduler left incomplete. Lease and retry take up to 1.5 s of the 2.8 s.
+// Fails when orphanWait is adoptionTime.
+func TestIncompleteGangDelaysTakeoverLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		call := func(_ context.Context, _ string, _ messenger.Kind, _, answer any) error {
+			*answer.(*messenger.GangAnswer) = messenger.GangAnswer{OK: true, State: messenger.TaskStopped, NeverStarted: true}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", call)
+		time.Sleep(2 * adoptionTime)
+		activeDuty(t.Context(), e)
+		job := descriptor.Job{ID: "g", Workspace: "atelier", Class: "Preview", Tasks: 2, PerTask: descriptor.Resources{Accelerators: 4}}
+		e.jobs.put(keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobQueued})
+		e.duty.step(t.Context())
+		ref := messenger.GangRef{Key: job.Key(), Attempt: 1, Epoch: epochOfTerm(1)}
+		e.agents.update(testReport("h", 1, messenger.TaskReport{Gang: ref, Tasks: []int{0}, Members: 2, State: messenger.TaskHeld}), e.now())
+		e.duty.step(t.Context())
+		assert.Assert(t, !e.duty.mayDecide(e.duty.running, e.now()))
+		// 2.8 s less lease, retry, one period of the loop and the start itself.
+		time.Sleep(900 * time.Millisecond)
+		e.duty.step(t.Context())
+		assert.Assert(t, e.duty.mayDecide(e.duty.running, e.now()))
+		synctest.Wait()
+		finishDuty(e)
+	})
+}
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -234,7 +234,7 @@
 	case open && complete:
 		delete(t.orphans, k)
 		d.adoptGang(t, o, record, now)
-	case open && now.Sub(o.firstSeen) < adoptionTime:
+	case open && now.Sub(o.firstSeen) < orphanWait:
 		// The reports of the other members may still arrive.
 	case !d.entry.jobs.isComplete():
 	default:
