coordinator: an attempt that was replaced is stopped when it is reported again

Cause: an agent that the scheduler alone cannot hear for 35 s goes on, because other entries answer it. The scheduler starts the job elsewhere. When the agent is heard again, its older attempt was passed over, ran to its end beside the newer one and kept accelerators that the view counted as free. Ruled out: the agent; it refuses older attempts only when it holds a newer one. Change: a reported attempt older than the managed one is stopped. Before: TestReplacedAttemptIsStopped sees no Stop. After: one Stop of attempt 1. Conclusion: two attempts of an idempotent job overlap until the first report that reaches the scheduler; work that runs at most once has no second attempt.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -266,3 +266,31 @@
 		finishDuty(e)
 	})
 }
+
+// Guards against an attempt that outlives its replacement: its agent was out of
+// the scheduler's reach until the job was started elsewhere, and reports it again.
+// Fails when collectOrphans passes over attempts older than the managed one.
+func TestReplacedAttemptIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stopped := make(chan messenger.Stop, 1)
+		call := func(_ context.Context, address string, kind messenger.Kind, request, answer any) error {
+			if kind == messenger.KindStop && address == "old" {
+				stopped <- request.(messenger.Stop)
+			}
+			*answer.(*messenger.GangAnswer) = messenger.GangAnswer{OK: true, State: messenger.TaskStopped}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", call)
+		term, g := activeDuty(t.Context(), e)
+		g.ref.Attempt = 2
+		old := messenger.GangRef{Key: g.ref.Key, Attempt: 1, Epoch: epochOfTerm(1)}
+		e.agents.update(testReport("old", 1, messenger.TaskReport{Gang: old, Tasks: []int{0}, Members: 1, Confirmed: true, State: messenger.TaskRunning}), e.now())
+		e.duty.step(t.Context())
+		synctest.Wait()
+		assert.Equal(t, len(stopped), 1)
+		assert.Equal(t, (<-stopped).Gang.Attempt, descriptor.Attempt(1))
+		assert.Assert(t, term.gangs[g.ref.Key] == g)
+		assert.Equal(t, g.phase, phaseRunning)
+		finishDuty(e)
+	})
+}
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -174,6 +174,9 @@
 	}
 	for _, r := range a.report.Tasks {
 		g := t.gangs[r.Gang.Key]
+		if g != nil && g.ref.Attempt > r.Gang.Attempt && !r.State.Ended() {
+			d.stopReplaced(t, a, r)
+		}
 		if g != nil && g.ref.Attempt >= r.Gang.Attempt {
 			continue
 		}
@@ -184,6 +187,19 @@
 	}
 }
 
+// stopReplaced stops a member of an attempt that a newer one has replaced. Its
+// agent was out of reach of this scheduler, but not of other entries.
+func (d *schedulingDuty) stopReplaced(t *termState, a agentState, r messenger.TaskReport) {
+	ref := r.Gang
+	ref.Epoch = t.epoch
+	m := member{agent: a.report.Agent, address: a.report.Address, worker: workerOf(a)}
+	d.background.Go(func() {
+		stop := messenger.Stop{Gang: ref, Cause: "a newer attempt runs"}
+		// The member is reported again until it has stopped.
+		_ = d.send(t.ctx, m, messenger.KindStop, stop, isOK)
+	})
+}
+
 // needsResult reports whether an ended attempt may be the result of a job that is still open.
 func (d *schedulingDuty) needsResult(t *termState, r messenger.TaskReport) bool {
 	record, ok := d.entry.jobs.get(r.Gang.Key)
