coordinator: a hanging store does not delay a takeover without it

Cause: one loop asked the store for the term and then checked whether to act without it. A store that does not answer held each round for 1.2 s, and the check needs two rounds after the scheduler is silent for 1.5 s. Ruled out: a shorter limit on the call; a slow store needs several calls. Change: the check for acting has its own loop. activate keeps epochs in order when both loops succeed. After: below 2.4 s, the limit of the test.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -294,3 +294,34 @@
 		finishDuty(e)
 	})
 }
+
+// Guards against a takeover that waits for a store which does not answer: urgent
+// work must start 2.8 s after the scheduler died, of which it is silent for 1.5 s.
+// Fails when the check for acting runs behind a call of the store in one loop.
+func TestHangingStoreDelaysNoTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.hang = true
+		e := testEntry(m, "entry-a", noCall)
+		e.adopt(testConfiguration(1, false))
+		ctx, cancel := context.WithCancel(t.Context())
+		var loops sync.WaitGroup
+		loops.Go(func() { e.duty.termLoop(ctx) })
+		loops.Go(func() {
+			for ctx.Err() == nil {
+				// The majority confirms without the store.
+				e.basis.confirm(1, e.now(), false)
+				time.Sleep(confirmInterval)
+			}
+		})
+		e.peers.hear(messenger.Peer{Entry: "entry-b", Region: "qc-sud", Scheduler: true, Epoch: epochOfTerm(1)})
+		died := time.Now()
+		for !e.duty.isActive() && time.Since(died) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		took := time.Since(died)
+		cancel()
+		loops.Wait()
+		assert.Assert(t, took < 2400*time.Millisecond, "took %v", took)
+	})
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"persimmontrail/internal/keeper"
@@ -30,7 +31,9 @@
 func (d *schedulingDuty) termLoop(ctx context.Context) {
 	e := d.entry
 	term := keeper.Term{Store: e.store, Region: e.settings.Region, Entry: e.settings.Name}
-	var silentSince time.Time
+	var acting sync.WaitGroup
+	defer acting.Wait()
+	acting.Go(func() { d.actingLoop(ctx) })
 	for {
 		switch {
 		case e.leaving.Load():
@@ -43,7 +46,6 @@
 		default:
 			d.acquireTerm(ctx, &term)
 		}
-		silentSince = d.considerActing(silentSince)
 		select {
 		case <-ctx.Done():
 			return
@@ -53,6 +55,24 @@
 	}
 }
 
+// actingLoop checks whether this entry must act without the store. It runs
+// beside termLoop, where a call to a store that does not answer takes up to termLifetime.
+func (d *schedulingDuty) actingLoop(ctx context.Context) {
+	t := time.NewTicker(termInterval)
+	defer t.Stop()
+	var silentSince time.Time
+	for {
+		silentSince = d.considerActing(silentSince)
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.resigning:
+			return
+		case <-t.C:
+		}
+	}
+}
+
 func (d *schedulingDuty) renewTerm(ctx context.Context, term *keeper.Term) {
 	ctx, cancel := context.WithTimeout(ctx, termTimeout)
 	defer cancel()
