coordinator: jobs are taken over before the attempts that agents report

Cause: a step looked at reported attempts before it handed new jobs to the core. An attempt whose job record arrived in the same step (the first read of the jobs after a start, or a lost announcement) counted as one of no open job and was stopped, although the job was accepted and ran. Ruled out: the cache of jobs; it held the record. Change: a step takes over workers, then jobs, then attempts, as beginTerm does. Before: TestReportAndJobArriveTogether counts a Stop. After: the attempt is adopted. Conclusion: the order of arrival within a step does not matter.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -187,8 +187,12 @@
 	now := d.entry.now()
 	t := d.running
 	d.syncConfiguration(t, now)
-	d.syncAgents(t, now)
+	changed := d.takeChangedAgents()
+	for _, a := range changed {
+		d.syncWorker(t, a, now)
+	}
 	d.syncJobs(t, now)
+	d.syncAttempts(t, changed, now)
 	if now.Sub(d.lastSweep) >= sweepInterval {
 		d.lastSweep = now
 		d.sweep(t, now)
@@ -272,14 +276,21 @@
 	t.revision = cfg.Revision
 }
 
-// syncAgents takes over the reports that arrived since the last step.
-func (d *schedulingDuty) syncAgents(t *termState, now time.Time) {
+// takeChangedAgents returns the agents that reported since the last step.
+func (d *schedulingDuty) takeChangedAgents() []agentState {
+	var list []agentState
 	for _, name := range d.entry.agents.takeChanged() {
-		a, ok := d.entry.agents.get(name)
-		if !ok {
-			continue
+		if a, ok := d.entry.agents.get(name); ok {
+			list = append(list, a)
 		}
-		d.syncWorker(t, a, now)
+	}
+	return list
+}
+
+// syncAttempts takes over the reported attempts. Workers and jobs come before
+// them: a job needs the workers that it may fit on, and an attempt its job.
+func (d *schedulingDuty) syncAttempts(t *termState, changed []agentState, now time.Time) {
+	for _, a := range changed {
 		d.observeMembers(t, a, now)
 		d.collectOrphans(t, a, now)
 	}
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -295,6 +295,33 @@
 	})
 }
 
+// Guards against a running attempt that is stopped as one of no open job, because
+// its report is looked at before the record of the job that arrived with it.
+// Fails when step collects orphans before it takes over the jobs.
+func TestReportAndJobArriveTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stops := 0
+		call := func(_ context.Context, _ string, kind messenger.Kind, _, answer any) error {
+			if kind == messenger.KindStop {
+				stops++
+			}
+			*answer.(*messenger.GangAnswer) = messenger.GangAnswer{OK: true, State: messenger.TaskStopped}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", call)
+		term, _ := activeDuty(t.Context(), e)
+		job := descriptor.Job{ID: "g", Workspace: "atelier", Class: "Preview", Tasks: 1, PerTask: descriptor.Resources{Accelerators: 4}}
+		e.jobs.put(keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobQueued})
+		ref := messenger.GangRef{Key: job.Key(), Attempt: 1, Epoch: epochOfTerm(1)}
+		e.agents.update(testReport("h", 1, messenger.TaskReport{Gang: ref, Tasks: []int{0}, Members: 1, Confirmed: true, State: messenger.TaskRunning}), e.now())
+		e.duty.step(t.Context())
+		synctest.Wait()
+		assert.Equal(t, stops, 0)
+		assert.Assert(t, term.gangs[job.Key()] != nil)
+		finishDuty(e)
+	})
+}
+
 // Guards against a takeover that waits for a store which does not answer: urgent
 // work must start 2.8 s after the scheduler died, of which it is silent for 1.5 s.
 // Fails when the check for acting runs behind a call of the store in one loop.
