coordinator: permits and acceptance under cut links, as a test

Entries join, die and lose links to each other and to the store at random on a virtual clock, while operators change the configuration. No entry may permit a start on an older revision more than 2 s after a newer one was accepted.

--- /dev/null
+++ b/internal/coordinator/permit_test.go
@@ -0,0 +1,256 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+)
+
+// network connects entries in one process. Links between them and to the store can be cut.
+type network struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	store   *memoryStore
+	entries map[string]*Entry
+	stop    map[string]context.CancelFunc
+	// cut holds pairs of names, in order; the store is named "store".
+	cut   map[[2]string]bool
+	loops sync.WaitGroup
+}
+
+func pair(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+func (n *network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[pair(a, b)]
+}
+
+// delay is the way of one message.
+func (n *network) delay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(1+n.random.IntN(60)) * time.Millisecond
+}
+
+// join starts an entry with the loops that decide about permits.
+func (n *network) join(t *testing.T, name string) {
+	s := n.store.store()
+	get, put := s.Get, s.Put
+	s.Get = func(ctx context.Context, key string) ([]byte, keeper.Version, error) {
+		time.Sleep(n.delay())
+		if n.isCut(name, "store") {
+			return nil, 0, keeper.ErrUnavailable
+		}
+		data, v, err := get(ctx, key)
+		time.Sleep(n.delay())
+		return data, v, err
+	}
+	s.Put = func(ctx context.Context, key string, data []byte, expect keeper.Version, l keeper.LeaseID) (keeper.Version, error) {
+		time.Sleep(n.delay())
+		if n.isCut(name, "store") {
+			return 0, keeper.ErrUnavailable
+		}
+		v, err := put(ctx, key, data, expect, l)
+		if n.isCut(name, "store") {
+			return 0, keeper.ErrOutcomeUnknown
+		}
+		return v, err
+	}
+	call := func(_ context.Context, address string, _ messenger.Kind, request, answer any) error {
+		time.Sleep(n.delay())
+		n.mu.Lock()
+		peer := n.entries[address]
+		n.mu.Unlock()
+		if peer == nil || n.isCut(name, address) {
+			return messenger.ErrSilent
+		}
+		a := peer.peers.answer(request.(messenger.Peer))
+		time.Sleep(n.delay())
+		if n.isCut(name, address) {
+			return messenger.ErrSilent
+		}
+		*answer.(*messenger.Peer) = a
+		return nil
+	}
+	e := newEntry(Settings{Name: descriptor.EntryID(name), Region: "qc-sud", Store: s, Call: call})
+	e.address = name
+	ctx, cancel := context.WithCancel(t.Context())
+	n.mu.Lock()
+	n.entries[name] = e
+	n.stop[name] = cancel
+	n.mu.Unlock()
+	n.loops.Go(func() { e.confirmLoop(ctx) })
+	n.loops.Go(func() { e.peers.loop(ctx) })
+}
+
+// kill ends an entry without notice.
+func (n *network) kill(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stop[name]()
+	delete(n.entries, name)
+}
+
+func (n *network) pick(limit int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.random.IntN(limit)
+}
+
+func (n *network) all() []*Entry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []*Entry
+	for _, name := range slices.Sorted(maps.Keys(n.entries)) {
+		list = append(list, n.entries[name])
+	}
+	return list
+}
+
+// shake changes one fault at random.
+func (n *network) shake(t *testing.T, next *int) {
+	names := []string{"store"}
+	for _, e := range n.all() {
+		names = append(names, string(e.settings.Name))
+	}
+	n.mu.Lock()
+	dice := n.random.IntN(100)
+	a := names[n.random.IntN(len(names))]
+	b := names[n.random.IntN(len(names))]
+	n.mu.Unlock()
+	switch {
+	case dice < 8 && len(names) < 6:
+		*next++
+		n.join(t, fmt.Sprintf("entry-%03d", *next))
+	case dice < 14 && len(names) > 3 && a != "store":
+		n.kill(a)
+	case a != b:
+		n.mu.Lock()
+		n.cut[pair(a, b)] = dice < 60
+		n.mu.Unlock()
+	}
+}
+
+// acceptance is when the revision was accepted.
+type acceptance struct {
+	revision descriptor.Revision
+	at       time.Time
+}
+
+// Guards against a start permit on an older revision more than permitLifetime
+// after a newer one was accepted, and against an entry that goes back to an older
+// revision, while links between entries and to the store are cut and restored and
+// entries come and go. Fails when registrar.Acceptable always says true and when
+// permit adds a second to permitLifetime.
+func TestNoOldPermitAfterAcceptance(t *testing.T) {
+	seeds := uint64(10)
+	if testing.Short() {
+		seeds = 3
+	}
+	accepted := 0
+	withoutStore := 0
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			a, w, violation := runPermits(t, seed)
+			assert.Equal(t, violation, "", "seed %d", seed)
+			accepted += a
+			withoutStore += w
+		})
+	}
+	t.Logf("seeds 0 to %d: %d changes accepted, %d samples of permits without the store", seeds-1, accepted, withoutStore)
+	assert.Assert(t, accepted > 3*int(seeds) && withoutStore > 0)
+}
+
+func runPermits(t *testing.T, seed uint64) (accepted, withoutStore int, violation string) {
+	n := &network{
+		random: rand.New(rand.NewPCG(seed, 1)), store: newMemoryStore(), entries: map[string]*Entry{},
+		stop: map[string]context.CancelFunc{}, cut: map[[2]string]bool{},
+	}
+	var mu sync.Mutex
+	var last acceptance
+	next := 3
+	for i := 1; i <= next; i++ {
+		n.join(t, fmt.Sprintf("entry-%03d", i))
+	}
+	began := time.Now()
+	seen := map[descriptor.EntryID]descriptor.Revision{}
+	var operators sync.WaitGroup
+	for step := 0; violation == "" && time.Since(began) < 2*time.Minute; step++ {
+		if step%15 == 0 {
+			n.shake(t, &next)
+		}
+		if step%40 == 20 {
+			list := n.all()
+			e := list[n.pick(len(list))]
+			operators.Go(func() {
+				cfg := changeOnce(t.Context(), e)
+				if cfg == nil {
+					return
+				}
+				answer := e.spread(t.Context(), cfg)
+				mu.Lock()
+				defer mu.Unlock()
+				if answer.State == ChangeAccepted {
+					accepted++
+					if answer.Revision > last.revision {
+						last = acceptance{answer.Revision, time.Now()}
+					}
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		now := time.Now()
+		mu.Lock()
+		latest := last
+		mu.Unlock()
+		for _, e := range n.all() {
+			p := e.basis.permit(now)
+			if e.basis.revision() < seen[e.settings.Name] {
+				violation = fmt.Sprintf("%s goes back to revision %d", e.settings.Name, e.basis.revision())
+			}
+			seen[e.settings.Name] = e.basis.revision()
+			if p.ValidFor > 0 && !e.basis.storeReached(now) {
+				withoutStore++
+			}
+			if p.Revision < latest.revision && now.Add(p.ValidFor).After(latest.at.Add(permitLifetime)) && p.ValidFor > 0 {
+				violation = fmt.Sprintf("at %v %s permits revision %d for %v; %d was accepted %v ago",
+					now.Sub(began), e.settings.Name, p.Revision, p.ValidFor, latest.revision, now.Sub(latest.at))
+			}
+		}
+	}
+	operators.Wait()
+	for _, e := range n.all() {
+		n.kill(string(e.settings.Name))
+	}
+	n.loops.Wait()
+	// Writes with an unknown outcome are looked into for 10 s.
+	time.Sleep(30 * time.Second)
+	return accepted, withoutStore, violation
+}
+
+// changeOnce takes a failure domain out or back in at e and returns the stored configuration, or nil.
+func changeOnce(ctx context.Context, e *Entry) *descriptor.Configuration {
+	current, err := e.configurations.Read(ctx)
+	if err != nil {
+		return nil
+	}
+	next := testConfiguration(current.Revision, current.Revision%2 == 0)
+	stored, err := e.replace(ctx, next, current.Revision, "jana")
+	if err != nil {
+		return nil
+	}
+	return stored
+}
