--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -19,9 +19,16 @@
 	decideInterval = 100 * time.Millisecond
 	// sweepInterval is the time between checks for silent agents and overdue members.
 	sweepInterval = 500 * time.Millisecond
-	// adoptionTime is how long a new scheduler collects reports before it stops
-	// gangs that are not complete: three reports.
+	// adoptionTime is how long an entry listens to reports before it decides: three reports.
 	adoptionTime = 1500 * time.Millisecond
+	// orphanWait is how long a scheduler waits for the missing members of a reported
+	// attempt: one periodic report and its way. No decision is made meanwhile, and of
+	// the 2.8 s for urgent work the lapse of the lease and its retry take up to 1.5 s.
+	orphanWait = 700 * time.Millisecond
+	// pauseLimit is the longest gap between two steps of the loop after which the
+	// view still counts. It is what lostLimit leaves above the 30 s after which an
+	// agent that hears no entry stops its tasks.
+	pauseLimit = 5 * time.Second
 )
 
 // errNotScheduler means that the entry does not schedule its region now.
@@ -53,9 +60,12 @@
 	settledAt time.Time
 
 	// The fields below belong to the loop.
-	running    *termState
-	lastSweep  time.Time
-	background sync.WaitGroup
+	running   *termState
+	lastSweep time.Time
+	lastStep  time.Time
+	// listeningSince is when the process started or last resumed after a pause.
+	listeningSince time.Time
+	background     sync.WaitGroup
 }
 
 // termState is what the scheduler builds anew in each term.
@@ -163,6 +173,7 @@
 
 // step brings the core up to date and carries out its decisions.
 func (d *schedulingDuty) step(ctx context.Context) {
+	d.checkPause(d.entry.now())
 	active, epoch := d.state()
 	if d.running != nil && (!active || d.running.epoch != epoch) {
 		d.endTerm()
@@ -176,8 +187,12 @@
 	now := d.entry.now()
 	t := d.running
 	d.syncConfiguration(t, now)
-	d.syncAgents(t, now)
+	changed := d.takeChangedAgents()
+	for _, a := range changed {
+		d.syncWorker(t, a, now)
+	}
 	d.syncJobs(t, now)
+	d.syncAttempts(t, changed, now)
 	if now.Sub(d.lastSweep) >= sweepInterval {
 		d.lastSweep = now
 		d.sweep(t, now)
@@ -190,9 +205,22 @@
 	}
 }
 
+// checkPause ends the term after a pause of the process. No report was handled
+// meanwhile, so every agent looks silent although its tasks run.
+func (d *schedulingDuty) checkPause(now time.Time) {
+	if d.lastStep.IsZero() {
+		d.listeningSince = d.entry.startedAt
+	}
+	if !d.lastStep.IsZero() && now.Sub(d.lastStep) > pauseLimit {
+		d.listeningSince = now
+		d.deactivate("the process was paused")
+	}
+	d.lastStep = now
+}
+
 // mayDecide reports whether the view is complete enough and starts are permitted.
 func (d *schedulingDuty) mayDecide(t *termState, now time.Time) bool {
-	heardAll := now.Sub(d.entry.startedAt) > adoptionTime
+	heardAll := now.Sub(d.listeningSince) > adoptionTime
 	return heardAll && d.entry.jobs.isComplete() && t.revision > 0 && d.entry.basis.permit(now).ValidFor > 0 && len(t.orphans) == 0
 }
 
@@ -248,14 +276,21 @@
 	t.revision = cfg.Revision
 }
 
-// syncAgents takes over the reports that arrived since the last step.
-func (d *schedulingDuty) syncAgents(t *termState, now time.Time) {
+// takeChangedAgents returns the agents that reported since the last step.
+func (d *schedulingDuty) takeChangedAgents() []agentState {
+	var list []agentState
 	for _, name := range d.entry.agents.takeChanged() {
-		a, ok := d.entry.agents.get(name)
-		if !ok {
-			continue
+		if a, ok := d.entry.agents.get(name); ok {
+			list = append(list, a)
 		}
-		d.syncWorker(t, a, now)
+	}
+	return list
+}
+
+// syncAttempts takes over the reported attempts. Workers and jobs come before
+// them: a job needs the workers that it may fit on, and an attempt its job.
+func (d *schedulingDuty) syncAttempts(t *termState, changed []agentState, now time.Time) {
+	for _, a := range changed {
 		d.observeMembers(t, a, now)
 		d.collectOrphans(t, a, now)
 	}
