coordinator: an outcome query that is not sent is no proof that the request did not run

Cause: attempt overwrote the error of the lost Serve with that of the outcome query. When the agent died while the request ran, the query was ErrNotSent, the caller got NotRun, the claim ended as NotRun, and a retry ran the request again. Ruled out: the claim itself; it gave way only because it was ended as NotRun. Change: the error of Serve stays; the query's error is text only. Conclusion: only the error of Serve itself may prove NotRun.

--- /dev/null
+++ b/internal/coordinator/request_test.go
@@ -0,0 +1,233 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/enforcer"
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+)
+
+// floor is a set of agents with endpoints that count runs, behind a network and a store in memory.
+type floor struct {
+	mu     sync.Mutex
+	agents map[string]*enforcer.Enforcer
+	// runs counts starts at all endpoints.
+	runs map[descriptor.RequestID]int
+	// store holds the claims; down refuses calls, and lost lets a write take effect and loses its answer.
+	store map[string]stored
+	down  bool
+	lost  func() bool
+	// intercept may replace a call to an agent; it calls next to let it through.
+	intercept func(address string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error)
+	// serve may replace the endpoint.
+	serve func(ctx context.Context, agent string, c enforcer.ServeCall) ([]byte, error)
+	made  int
+}
+
+type stored struct {
+	data    []byte
+	version keeper.Version
+}
+
+func newFloor() *floor {
+	return &floor{agents: map[string]*enforcer.Enforcer{}, runs: map[descriptor.RequestID]int{}, store: map[string]stored{}}
+}
+
+// startAgent starts a run of an agent at an address; one that ran there is gone.
+func (f *floor) startAgent(address string) *enforcer.Enforcer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.made++
+	name := fmt.Sprintf("%s-run%d", address, f.made)
+	e := &enforcer.Enforcer{Agent: name, FailureDomain: "Montreal"}
+	e.Endpoint.Serve = func(ctx context.Context, c enforcer.ServeCall) ([]byte, error) {
+		f.mu.Lock()
+		f.runs[c.Request.ID]++
+		serve := f.serve
+		f.mu.Unlock()
+		if serve != nil {
+			return serve(ctx, name, c)
+		}
+		return answerOf(c.Request), nil
+	}
+	e.Announce(enforcer.EndpointAnnouncement{ID: descriptor.EndpointID(address), Service: "measurement", URL: "http://x", Slots: 4, Connections: 64})
+	e.SetPermit(messenger.Permit{Revision: 1, ValidFor: 2 * time.Second}, time.Now())
+	f.agents[address] = e
+	return e
+}
+
+func answerOf(r descriptor.Request) []byte { return []byte(string(r.Workspace) + "/" + string(r.ID)) }
+
+func (f *floor) stopAgent(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.agents, address)
+}
+
+func (f *floor) runCount(id descriptor.RequestID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
+// call is the network: it reaches the run of an agent that is at the address now.
+func (f *floor) call(ctx context.Context, address string, kind messenger.Kind, request, answer any) error {
+	next := func() (messenger.ServeAnswer, error) {
+		f.mu.Lock()
+		a := f.agents[address]
+		f.mu.Unlock()
+		if a == nil {
+			return messenger.ServeAnswer{}, messenger.ErrNotSent
+		}
+		if err := ctx.Err(); err != nil {
+			return messenger.ServeAnswer{}, errors.Join(messenger.ErrNotSent, err)
+		}
+		got := make(chan messenger.ServeAnswer, 1)
+		go func() {
+			switch m := request.(type) {
+			case messenger.Serve:
+				got <- a.Serve(ctx, m)
+			case messenger.OutcomeQuery:
+				got <- a.Outcome(ctx, m)
+			}
+		}()
+		select {
+		case s := <-got:
+			return s, nil
+		case <-ctx.Done():
+			return messenger.ServeAnswer{}, ctx.Err()
+		}
+	}
+	f.mu.Lock()
+	intercept := f.intercept
+	f.mu.Unlock()
+	if intercept == nil {
+		intercept = func(_ string, _ messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			return next()
+		}
+	}
+	s, err := intercept(address, kind, next)
+	if err == nil {
+		*answer.(*messenger.ServeAnswer) = s
+	}
+	return err
+}
+
+func (f *floor) keeperStore() *keeper.Store {
+	return &keeper.Store{
+		Get: func(_ context.Context, key string) ([]byte, keeper.Version, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			v, ok := f.store[key]
+			switch {
+			case f.down:
+				return nil, 0, keeper.ErrUnavailable
+			case !ok:
+				return nil, 0, keeper.ErrNotFound
+			}
+			return v.data, v.version, nil
+		},
+		Put: func(_ context.Context, key string, data []byte, expect keeper.Version, _ keeper.LeaseID) (keeper.Version, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			switch {
+			case f.down:
+				return 0, keeper.ErrUnavailable
+			case f.store[key].version != expect:
+				return 0, keeper.ErrConflict
+			}
+			f.store[key] = stored{data, expect + 1}
+			if f.lost != nil && f.lost() {
+				return 0, keeper.ErrOutcomeUnknown
+			}
+			return expect + 1, nil
+		},
+	}
+}
+
+// entry returns an entry that knows the given agents. It runs no duties.
+func (f *floor) entry(name string, region descriptor.RegionID) *Entry {
+	e := newEntry(Settings{Name: descriptor.EntryID(name), Region: region, FailureDomain: "Montreal", Store: f.keeperStore(), Call: f.call})
+	cfg := &descriptor.Configuration{
+		Revision:   1,
+		Workspaces: []descriptor.Workspace{{Name: "w"}, {Name: "v"}},
+		Classes: []descriptor.Class{
+			{Name: "Preview", FinishWithin: descriptor.Duration(8 * time.Second), Share: 1, Service: "measurement"},
+			{Name: "Nesting", FinishWithin: descriptor.Duration(20 * time.Second), Share: 1, Service: "measurement", NonIdempotent: true},
+		},
+		FailureDomains: []descriptor.FailureDomain{{Name: "Montreal", Region: "qc-sud"}, {Name: "Saguenay", Region: "qc-nord"}},
+	}
+	e.adopt(cfg)
+	f.report(e)
+	return e
+}
+
+// report tells an entry the state of all agents.
+func (f *floor) report(e *Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, a := range f.agents {
+		s := a.Snapshot(0)
+		state := messenger.AgentServing
+		if s.Leaving {
+			state = messenger.AgentLeaving
+		}
+		e.handleReport(messenger.Report{
+			Agent: a.Agent, Sequence: uint64(time.Now().UnixNano()), State: state, Address: address, Full: true,
+			FailureDomain: "Montreal", Region: e.settings.Region, Endpoint: s.Endpoint,
+		})
+	}
+}
+
+func (e *Entry) testServe(class, id string) messenger.ServeAnswer {
+	request := descriptor.Request{ID: descriptor.RequestID(id), Workspace: "w", Class: descriptor.ClassID(class)}
+	for _, c := range e.basis.configuration().Classes {
+		if c.Name == request.Class {
+			return e.serve(context.Background(), request, c, false)
+		}
+	}
+	panic("no class " + class)
+}
+
+// Guards against a false NotRun, and then a second run, when an agent dies while
+// a request runs there and cannot be reached for its outcome. Fails when
+// attempt takes ErrNotSent of the outcome query for that of the request.
+func TestUnreachableOutcomeIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		f.intercept = func(address string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			if kind == messenger.KindServe {
+				_, _ = next()
+				f.stopAgent(address)
+				return messenger.ServeAnswer{}, messenger.ErrLost
+			}
+			return next()
+		}
+		for _, class := range []string{"Nesting", "Preview"} {
+			f.startAgent("a:1")
+			f.report(e)
+			a := e.testServe(class, class)
+			assert.Equal(t, f.runCount(descriptor.RequestID(class)), 1)
+			assert.Equal(t, a.Result, descriptor.ResultUnknown, "%s: %s", class, a.Reason)
+		}
+		f.startAgent("b:1")
+		f.report(e)
+		f.intercept = nil
+		a := e.testServe("Nesting", "Nesting")
+		assert.Equal(t, a.Result, descriptor.ResultUnknown, a.Reason)
+		assert.Equal(t, f.runCount("Nesting"), 1)
+	})
+}
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -114,7 +114,13 @@
 	err := e.call(ctx, choice.Address, messenger.KindServe, serve, &a)
 	if err != nil && !errors.Is(err, messenger.ErrNotSent) && ctx.Err() == nil {
 		e.metrics.Count("request_outcome_queries_total", "class", string(class.Name))
-		a, err = e.askOutcome(ctx, sent, deadline.Sub(e.now()))
+		var queryErr error
+		if a, queryErr = e.askOutcome(ctx, sent, deadline.Sub(e.now())); queryErr == nil {
+			err = nil
+		} else {
+			// %v: a query that was not sent says nothing of the request, which may have run.
+			err = fmt.Errorf("%w; no outcome: %v", err, queryErr)
+		}
 	}
 	switch {
 	case errors.Is(err, messenger.ErrNotSent):
