enforcer: a request is served only by the run of the agent that is meant

Cause: Serve.Agent was never checked. A run promised NotRun, the agent was started again at the same address, the claim gave way to another endpoint, and the delayed Serve of the first entry ran at the new run: two runs. Ruled out: the promise of the old run, which is kept but lost with its process. Change: another run answers NotRun without a record. Tests that send Serve now name the run, as entries do. Before: TestServeReachesOnlyTheClaimedRun counted 2 runs. Conclusion: the claim names one run, and only that run can serve it.

--- a/internal/coordinator/request_test.go
+++ b/internal/coordinator/request_test.go
@@ -231,3 +231,42 @@
 		assert.Equal(t, f.runCount("Nesting"), 1)
 	})
 }
+
+// Guards against a second run by an agent that was started again at the address
+// of the one that had promised never to run the request. Fails without the check
+// of Serve.Agent in enforcer.admitRequest.
+func TestServeReachesOnlyTheClaimedRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		slow, other := f.entry("e1", "qc-sud"), f.entry("e2", "qc-sud")
+		defer slow.serving.Wait()
+		defer other.serving.Wait()
+		paused := make(chan struct{})
+		f.intercept = func(address string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			if kind == messenger.KindServe {
+				<-paused
+			}
+			return next()
+		}
+		late := make(chan messenger.ServeAnswer)
+		go func() { late <- slow.testServe("Nesting", "n") }()
+		time.Sleep(time.Second) // The claim is written and its Serve is delayed.
+		_, err := other.lookUpRequest(t.Context(), "w", "n")
+		assert.NilError(t, err)
+		other.serving.Wait()
+		time.Sleep(2 * time.Second) // The first run of a counts as silent.
+		f.stopAgent("a:1")
+		f.startAgent("b:1")
+		f.report(other)
+		f.startAgent("a:1")
+		f.mu.Lock()
+		f.intercept = nil
+		f.mu.Unlock()
+		a := other.testServe("Nesting", "n")
+		assert.Equal(t, a.Result, descriptor.ResultDone, a.Reason)
+		close(paused)
+		a = <-late
+		assert.Equal(t, f.runCount("n"), 1, "%s: %s", a.Result, a.Reason)
+	})
+}
--- a/internal/enforcer/request.go
+++ b/internal/enforcer/request.go
@@ -150,6 +150,16 @@
 	defer e.unlock(before)
 	now := e.now()
 	key := requestKey{s.Request.Workspace, s.Request.ID}
+	if s.Agent != e.Agent {
+		// The run that was meant may have promised that the request never starts; this one does not know of it.
+		return nil, messenger.ServeAnswer{
+			Result:         descriptor.ResultNotRun,
+			Request:        s.Request.ID,
+			Reason:         ErrOtherRun.Error(),
+			RetryElsewhere: true,
+			Endpoint:       e.requests.endpoint.ID,
+		}
+	}
 	old := e.requests.records[key]
 	if old != nil && (!old.over() || old.refused || old.nonIdempotent || s.NonIdempotent || old.answer.Result == descriptor.ResultDone) {
 		return old, messenger.ServeAnswer{}
@@ -194,6 +204,7 @@
 	ErrNoEndpoint = errors.New("no healthy endpoint")
 	ErrQueueFull  = errors.New("queue of the endpoint is full")
 	ErrDeadline   = errors.New("deadline passed before the request could start")
+	ErrOtherRun   = errors.New("the request was sent to another run of the agent")
 )
 
 func (e *Enforcer) mayQueue(s messenger.Serve, now time.Time) error {
--- a/internal/enforcer/request_test.go
+++ b/internal/enforcer/request_test.go
@@ -83,6 +83,7 @@
 	gone, cancel := context.WithCancel(context.Background())
 	cancel()
 	a := d.e.Serve(gone, messenger.Serve{
+		Agent:         "run1",
 		Request:       descriptor.Request{Workspace: "w", ID: id, Body: []byte(id)},
 		NonIdempotent: id[0] == 'n',
 		Deadline:      time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadline")) * time.Millisecond,
@@ -216,7 +217,7 @@
 			}
 		}
 		request := descriptor.Request{Workspace: "w", ID: "a"}
-		e.Serve(context.Background(), messenger.Serve{Request: request, NonIdempotent: true, Deadline: time.Second})
+		e.Serve(context.Background(), messenger.Serve{Agent: "run2", Request: request, NonIdempotent: true, Deadline: time.Second})
 		expect(ask("run1", "b", time.Second), descriptor.ResultUnknown)
 		expect(ask("run2", "b", time.Second), descriptor.ResultNotRun)
 		time.Sleep(remember - time.Second)
--- a/internal/supervisor/process_test.go
+++ b/internal/supervisor/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -89,8 +90,10 @@
 		return len(r.Tasks) == 1 && r.Tasks[0].State == messenger.TaskRunning && r.Tasks[0].Confirmed
 	})
 	assert.NilError(t, endpoint.AnnounceOnce(ctx, agentWeb, http.DefaultClient))
+	var run struct{ Agent string }
+	assert.NilError(t, json.Unmarshal([]byte(get(t, agentWeb+"/v1/state")), &run))
 	var s messenger.ServeAnswer
-	call(messenger.KindServe, serveMessage("r1", true), &s)
+	call(messenger.KindServe, serveMessage(run.Agent, "r1", true), &s)
 	assert.Equal(t, s.Result, descriptor.ResultDone, s.Reason)
 	for _, path := range []string{"/healthz", "/readyz", "/metrics", "/v1/state"} {
 		assert.Assert(t, get(t, agentWeb+path) != "", path)
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -272,7 +272,7 @@
 		f.announce()
 		f.endpoint.Switch(func(s *faker.EndpointSwitches) { s.Slow = descriptor.Duration(5 * time.Second) })
 		answers := make(chan messenger.ServeAnswer, 1)
-		go func() { answers <- send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage("r1", true)) }()
+		go func() { answers <- send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage(f.id, "r1", true)) }()
 		time.Sleep(time.Second)
 		began := time.Now()
 		closing := func(context.Context) error {
@@ -290,7 +290,7 @@
 			assert.Equal(t, w.State, faker.TaskStopped)
 			assert.Equal(t, w.Checkpoints, 1)
 		}
-		late := send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage("r2", false))
+		late := send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage(f.id, "r2", false))
 		assert.Equal(t, late.Result, descriptor.ResultNotRun)
 	})
 }
@@ -308,8 +308,9 @@
 	})
 }
 
-func serveMessage(id descriptor.RequestID, nonIdempotent bool) messenger.Serve {
+func serveMessage(agent string, id descriptor.RequestID, nonIdempotent bool) messenger.Serve {
 	return messenger.Serve{
+		Agent:         agent,
 		Request:       descriptor.Request{ID: id, Workspace: "tailor", Class: "preview", Body: []byte(`{}`)},
 		NonIdempotent: nonIdempotent, Deadline: 20 * time.Second,
 	}
@@ -319,7 +320,7 @@
 func TestAnswersAreWholeOrNone(t *testing.T) {
 	bubble(t, func(f *fixture) {
 		f.announce()
-		whole := send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage("r1", true))
+		whole := send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage(f.id, "r1", true))
 		assert.Equal(t, whole.Result, descriptor.ResultDone)
 		assert.DeepEqual(t, whole.Body, faker.ExpectedAnswer("tailor", "r1", []byte(`{}`)))
 
@@ -330,7 +331,7 @@
 				id = "cut-once"
 			}
 			for range 2 {
-				cut := send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage(id, nonIdempotent))
+				cut := send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage(f.id, id, nonIdempotent))
 				assert.Equal(t, cut.Result, descriptor.ResultUnknown)
 				assert.Equal(t, len(cut.Body), 0)
 			}
@@ -341,7 +342,7 @@
 		f.endpoint.Switch(func(s *faker.EndpointSwitches) { s.CutAnswers = 0 })
 		answers := make(chan messenger.ServeAnswer, 3)
 		for _, id := range []descriptor.RequestID{"a", "b", "c"} { // One more than the endpoint really has slots.
-			go func() { answers <- send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage(id, true)) }()
+			go func() { answers <- send[messenger.ServeAnswer](f, messenger.KindServe, serveMessage(f.id, id, true)) }()
 		}
 		results := map[descriptor.Result]int{}
 		for range 3 {
