coordinator: answers are checked in one place; lost forwards and recorded outcomes

Three faults of the same function family, in one commit because all three answers now pass Entry.ask. 1. Cause: answers carried no workspace, an empty id was accepted, and answers to Outcome and Forward were not checked at all. Change: ServeAnswer names the workspace, ask compares both. TestCrossedAnswersReachNoCaller: a caller of w got the body of v before; after, only its own. 2. Cause: forward dropped the error of a lost call, so the caller got NotRun, and forwarded again after every attempt. Change: an error other than ErrNotSent may have run; a request is forwarded once. TestLostForwardIsNotCalledNotRun: NotRun before, Unknown after. 3. Cause: a recorded Done was given without its body, and a new run of the agent hid recorded outcomes. Change: recorded Done without an answer is Unknown with the reason; other recorded outcomes stand. TestRecordedOutcomeOutlivesTheAgent: Done without body before, Unknown after. Also: the router drops the earlier run of an agent when a new one reports from its address, because it refuses every request. Ruled out: the transport; each stream carries one call. Conclusion: no answer enters the entry unchecked.

--- a/internal/coordinator/request_test.go
+++ b/internal/coordinator/request_test.go
@@ -217,12 +217,14 @@
 			return next()
 		}
 		for _, class := range []string{"Nesting", "Preview"} {
+			time.Sleep(2 * time.Second) // The run before counts as silent.
 			f.startAgent("a:1")
 			f.report(e)
 			a := e.testServe(class, class)
 			assert.Equal(t, f.runCount(descriptor.RequestID(class)), 1)
 			assert.Equal(t, a.Result, descriptor.ResultUnknown, "%s: %s", class, a.Reason)
 		}
+		time.Sleep(2 * time.Second)
 		f.startAgent("b:1")
 		f.report(e)
 		f.intercept = nil
@@ -270,3 +272,110 @@
 		assert.Equal(t, f.runCount("n"), 1, "%s: %s", a.Result, a.Reason)
 	})
 }
+
+// Guards against a caller that gets the answer to another request: of another
+// id, or of the same id of another workspace, in answers to Serve, Outcome and
+// Forward. Fails without belongsTo in Entry.ask.
+func TestCrossedAnswersReachNoCaller(t *testing.T) {
+	foreign := []messenger.ServeAnswer{
+		{Result: descriptor.ResultDone, Workspace: "w", Request: "other", Body: []byte("w/other")},
+		{Result: descriptor.ResultDone, Workspace: "v", Request: "r", Body: []byte("v/r")},
+		{Result: descriptor.ResultDone, Body: []byte("nobody's")},
+	}
+	kinds := map[messenger.Kind][]messenger.Kind{
+		messenger.KindServe:   {messenger.KindServe},
+		messenger.KindOutcome: {messenger.KindServe, messenger.KindOutcome},
+		messenger.KindForward: {messenger.KindForward},
+	}
+	for name, crossed := range kinds {
+		for _, class := range []string{"Preview", "Nesting"} {
+			for _, wrong := range foreign {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFloor()
+					f.startAgent("a:1")
+					e := f.entry("e1", "qc-sud")
+					defer e.serving.Wait()
+					if name == messenger.KindForward {
+						f.stopAgent("a:1")
+						time.Sleep(2 * time.Second) // Its agent counts as silent.
+						e.peers.hear(messenger.Peer{Entry: "far", Address: "far:1", Region: "qc-nord"})
+					}
+					f.intercept = func(_ string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+						a, err := next()
+						for _, k := range crossed {
+							if k == kind {
+								return wrong, nil
+							}
+						}
+						return a, err
+					}
+					a := e.testServe(class, "r")
+					if a.Result == descriptor.ResultDone {
+						assert.Equal(t, string(a.Body), "w/r", "%s %s", name, class)
+					}
+					assert.Assert(t, a.Result != descriptor.ResultNotRun || f.runCount("r") == 0, "%s %s: false NotRun: %s", name, class, a.Reason)
+					repeated := e.testServe(class, "r")
+					if repeated.Result == descriptor.ResultDone {
+						assert.Equal(t, string(repeated.Body), "w/r", "%s %s", name, class)
+					}
+					assert.Assert(t, class != "Nesting" || f.runCount("r") <= 1)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a forwarded request whose answer is lost and that is then called not run.
+// Fails when forward drops what it learned from an error.
+func TestLostForwardIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		e.peers.hear(messenger.Peer{Entry: "far", Address: "far:1", Region: "qc-nord"})
+		for want, err := range map[descriptor.Result]error{descriptor.ResultUnknown: messenger.ErrLost, descriptor.ResultNotRun: messenger.ErrNotSent} {
+			sent := 0
+			f.intercept = func(_ string, _ messenger.Kind, _ func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+				sent++
+				return messenger.ServeAnswer{}, err
+			}
+			e.peers.hear(messenger.Peer{Entry: "far", Address: "far:1", Region: "qc-nord"})
+			a := e.testServe("Preview", string(want))
+			assert.Equal(t, a.Result, want, a.Reason)
+			assert.Equal(t, sent, 1)
+		}
+	})
+}
+
+// Guards against a repeated caller or a later question that gets Done without the
+// answer, or that loses an outcome the store has, after the agent is gone or was
+// replaced. Fails without the case of c.Resolved in resolveClaim.
+func TestRecordedOutcomeOutlivesTheAgent(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFloor()
+			f.startAgent("a:1")
+			f.serve = func(_ context.Context, _ string, c enforcer.ServeCall) ([]byte, error) {
+				if c.Request.ID == "failed" {
+					return nil, enforcer.ErrFailed
+				}
+				return answerOf(c.Request), nil
+			}
+			e := f.entry("e1", "qc-sud")
+			defer e.serving.Wait()
+			assert.Equal(t, e.testServe("Nesting", "done").Result, descriptor.ResultDone)
+			assert.Equal(t, e.testServe("Nesting", "failed").Result, descriptor.ResultFailed)
+			e.serving.Wait()
+			f.stopAgent("a:1")
+			if restarted {
+				f.startAgent("a:1")
+			}
+			for id, want := range map[string]descriptor.Result{"done": descriptor.ResultUnknown, "failed": descriptor.ResultFailed} {
+				a, err := e.lookUpRequest(t.Context(), "w", descriptor.RequestID(id))
+				assert.NilError(t, err)
+				assert.Equal(t, a.Result, want, "restarted %v: %s %s", restarted, id, a.Reason)
+				assert.Assert(t, a.Result != descriptor.ResultDone || string(a.Body) == "w/"+id)
+			}
+		})
+	}
+}
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -49,7 +49,7 @@
 	} else {
 		a = e.serveWithRetries(ctx, request, class, deadline, forwarded)
 	}
-	a.Request = request.ID
+	a.Workspace, a.Request = request.Workspace, request.ID
 	e.metrics.Completion("request", request.Workspace, request.Class, a.Result, e.now().Sub(began))
 	if a.Result != descriptor.ResultDone {
 		e.audit("request "+string(request.Workspace)+"/"+string(request.ID), string(a.Result), a.Reason)
@@ -74,8 +74,14 @@
 	mayHaveRun := false
 	for {
 		ticket := ticketOf(request, deadline, tried)
-		if a, ok := e.forward(ctx, request, ticket, deadline, forwarded); ok {
-			return a
+		if !forwarded {
+			a, sent, failure := e.forward(ctx, request, ticket, deadline)
+			if sent && failure == nil {
+				return a
+			}
+			// A request is forwarded once, so that an outage of all endpoints does not fill the link.
+			forwarded = sent
+			mayHaveRun = mayHaveRun || sent && !failure.notRun
 		}
 		choice, err := e.router.Acquire(ctx, ticket)
 		if err != nil {
@@ -104,14 +110,34 @@
 	return messenger.ServeAnswer{Result: descriptor.ResultNotRun, Reason: reason}
 }
 
+// errForeignAnswer means that a process answered for another request. The request itself may have run.
+var errForeignAnswer = errors.New("the answer belongs to another request")
+
+// ask sends a message about one request. It is the only way for an answer to a
+// request to enter this process, so an answer to another request reaches no caller.
+func (e *Entry) ask(ctx context.Context, address string, kind messenger.Kind, w descriptor.WorkspaceID, id descriptor.RequestID, message any) (messenger.ServeAnswer, error) {
+	var a messenger.ServeAnswer
+	if err := e.call(ctx, address, kind, message, &a); err != nil {
+		return messenger.ServeAnswer{}, err
+	}
+	if !belongsTo(a, w, id) {
+		e.metrics.Count("foreign_answers_total", "kind", string(kind))
+		return messenger.ServeAnswer{}, fmt.Errorf("%w: %s/%s", errForeignAnswer, a.Workspace, a.Request)
+	}
+	return a, nil
+}
+
+func belongsTo(a messenger.ServeAnswer, w descriptor.WorkspaceID, id descriptor.RequestID) bool {
+	return a.Workspace == w && a.Request == id
+}
+
 // attempt sends a request to one endpoint. When the connection is lost it asks
 // the same agent again by the request's id.
 func (e *Entry) attempt(ctx context.Context, choice dispatcher.Choice, request descriptor.Request, class descriptor.Class, deadline time.Time) (messenger.ServeAnswer, *attemptError) {
 	began := e.now()
 	serve := messenger.Serve{Agent: choice.Agent, Request: request, NonIdempotent: class.NonIdempotent, Deadline: deadline.Sub(began)}
 	sent := keeper.ClaimRecord{Workspace: request.Workspace, ID: request.ID, Agent: choice.Agent, Address: choice.Address, ClaimedAt: began}
-	var a messenger.ServeAnswer
-	err := e.call(ctx, choice.Address, messenger.KindServe, serve, &a)
+	a, err := e.ask(ctx, choice.Address, messenger.KindServe, request.Workspace, request.ID, serve)
 	if err != nil && !errors.Is(err, messenger.ErrNotSent) && ctx.Err() == nil {
 		e.metrics.Count("request_outcome_queries_total", "class", string(class.Name))
 		var queryErr error
@@ -129,10 +155,6 @@
 	case err != nil:
 		e.router.Done(choice, descriptor.ResultUnknown, e.now().Sub(began))
 		return a, &attemptError{reason: err.Error()}
-	case a.Request != request.ID && a.Request != "":
-		// The agent answered for another request; the answer must not reach this caller.
-		e.router.Done(choice, descriptor.ResultFailed, e.now().Sub(began))
-		return messenger.ServeAnswer{}, &attemptError{reason: "the answer belongs to request " + string(a.Request)}
 	case a.Result == descriptor.ResultDone:
 		e.router.Done(choice, a.Result, e.now().Sub(began))
 		return a, nil
@@ -153,7 +175,7 @@
 	var err error
 	for range 2 {
 		query := messenger.OutcomeQuery{Agent: q.Agent, Workspace: q.Workspace, Request: q.ID, Wait: wait, Age: e.now().Sub(q.ClaimedAt)}
-		if err = e.call(ctx, q.Address, messenger.KindOutcome, query, &a); err == nil {
+		if a, err = e.ask(ctx, q.Address, messenger.KindOutcome, q.Workspace, q.ID, query); err == nil {
 			return a, nil
 		}
 		if ctx.Err() != nil {
@@ -225,8 +247,12 @@
 	defer cancel()
 	a, err := e.askOutcome(ctx, c, max(wait, 0))
 	a.Request = c.ID
+	noOutcome := err != nil || a.Result == descriptor.ResultUnknown && !a.Running
 	switch {
-	case err != nil && c.Result != "":
+	case noOutcome && c.Result == descriptor.ResultDone:
+		// Done promises the whole answer, which only the agent had.
+		return messenger.ServeAnswer{Request: c.ID, Result: descriptor.ResultUnknown, Reason: "the request ran to its end; its answer is not kept any more"}
+	case noOutcome && c.Resolved():
 		return messenger.ServeAnswer{Request: c.ID, Result: c.Result, Reason: c.Reason}
 	case err != nil:
 		return messenger.ServeAnswer{Request: c.ID, Result: descriptor.ResultUnknown, Reason: "the request was claimed and its agent does not answer: " + err.Error()}
@@ -265,35 +291,38 @@
 }
 
 // forward passes a request to another region when no endpoint here can serve
-// it in time and one there can.
-func (e *Entry) forward(ctx context.Context, request descriptor.Request, ticket dispatcher.Ticket, deadline time.Time, forwarded bool) (messenger.ServeAnswer, bool) {
-	if forwarded {
-		return messenger.ServeAnswer{}, false
-	}
+// it in time and one there can. sent is false when no region is worth it.
+func (e *Entry) forward(ctx context.Context, request descriptor.Request, ticket dispatcher.Ticket, deadline time.Time) (a messenger.ServeAnswer, sent bool, failure *attemptError) {
 	now := e.now()
 	for _, region := range e.otherRegions() {
 		live := e.peers.live(region, now)
 		if len(live) == 0 || !e.router.WorthForwarding(ticket, region, now) {
 			continue
 		}
-		var a messenger.ServeAnswer
-		err := e.call(ctx, live[0].Address, messenger.KindForward, messenger.Forward{Request: request, Deadline: deadline.Sub(now)}, &a)
-		if err == nil && a.Result == descriptor.ResultDone {
-			e.metrics.Count("requests_forwarded_total", "region", string(region))
-			return a, true
+		f := messenger.Forward{Request: request, Deadline: deadline.Sub(now)}
+		a, err := e.ask(ctx, live[0].Address, messenger.KindForward, request.Workspace, request.ID, f)
+		switch {
+		case err != nil:
+			return a, true, &attemptError{reason: err.Error(), notRun: errors.Is(err, messenger.ErrNotSent)}
+		case a.Result != descriptor.ResultDone:
+			return a, true, &attemptError{reason: a.Reason, notRun: a.Result == descriptor.ResultNotRun}
 		}
+		e.metrics.Count("requests_forwarded_total", "region", string(region))
+		return a, true, nil
 	}
-	return messenger.ServeAnswer{}, false
+	return messenger.ServeAnswer{}, false, nil
 }
 
 func (e *Entry) handleForward(ctx context.Context, f messenger.Forward) messenger.ServeAnswer {
 	cfg := e.basis.configuration()
-	if cfg == nil {
-		return noAnswer(false, "this entry has no configuration yet")
+	var class *descriptor.Class
+	if cfg != nil {
+		class = validator.FindClass(cfg, f.Request.Class)
 	}
-	class := validator.FindClass(cfg, f.Request.Class)
 	if class == nil {
-		return noAnswer(false, "no class "+string(f.Request.Class))
+		a := noAnswer(false, "this entry knows no class "+string(f.Request.Class))
+		a.Workspace, a.Request = f.Request.Workspace, f.Request.ID
+		return a
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline)
 	defer cancel()
--- a/internal/dispatcher/router.go
+++ b/internal/dispatcher/router.go
@@ -142,12 +142,22 @@
 	}
 	s := r.service(st.Service)
 	if e == nil {
+		r.removeEarlierRun(st)
 		e = r.add(s, st.Agent, now)
 	}
 	e.update(st, now)
 	r.dispatch(s, now)
 }
 
+// removeEarlierRun drops the run of an agent that was at the address of a new one: it would refuse every request.
+func (r *Router) removeEarlierRun(st EndpointState) {
+	for _, e := range r.endpoints {
+		if st.Address != "" && e.state.Address == st.Address {
+			r.remove(e)
+		}
+	}
+}
+
 // Remove forgets the endpoint of an agent that is gone.
 func (r *Router) Remove(agent string) {
 	r.mu.Lock()
--- a/internal/enforcer/request.go
+++ b/internal/enforcer/request.go
@@ -136,11 +136,12 @@
 		return r.answer
 	}
 	return messenger.ServeAnswer{
-		Result:   descriptor.ResultUnknown,
-		Request:  r.key.id,
-		Reason:   "running",
-		Running:  true,
-		Endpoint: e.requests.endpoint.ID,
+		Result:    descriptor.ResultUnknown,
+		Workspace: r.key.workspace,
+		Request:   r.key.id,
+		Reason:    "running",
+		Running:   true,
+		Endpoint:  e.requests.endpoint.ID,
 	}
 }
 
@@ -154,6 +155,7 @@
 		// The run that was meant may have promised that the request never starts; this one does not know of it.
 		return nil, messenger.ServeAnswer{
 			Result:         descriptor.ResultNotRun,
+			Workspace:      s.Request.Workspace,
 			Request:        s.Request.ID,
 			Reason:         ErrOtherRun.Error(),
 			RetryElsewhere: true,
@@ -186,6 +188,7 @@
 func (e *Enforcer) refuse(r *record, reason string, now time.Time) messenger.ServeAnswer {
 	a := messenger.ServeAnswer{
 		Result:         descriptor.ResultNotRun,
+		Workspace:      r.key.workspace,
 		Request:        r.key.id,
 		Reason:         reason,
 		RetryElsewhere: true,
@@ -287,7 +290,7 @@
 	defer e.unlock(before)
 	now := e.now()
 	e.requests.busy--
-	a := messenger.ServeAnswer{Request: r.key.id, Endpoint: e.requests.endpoint.ID}
+	a := messenger.ServeAnswer{Workspace: r.key.workspace, Request: r.key.id, Endpoint: e.requests.endpoint.ID}
 	switch {
 	case err == nil:
 		a.Result = descriptor.ResultDone
@@ -316,6 +319,7 @@
 	r.refused = r.nonIdempotent
 	e.endRequest(r, messenger.ServeAnswer{
 		Result:         descriptor.ResultNotRun,
+		Workspace:      r.key.workspace,
 		Request:        r.key.id,
 		Reason:         reason,
 		RetryElsewhere: elsewhere,
@@ -408,7 +412,7 @@
 	if r := e.requests.records[key]; r != nil {
 		return r, messenger.ServeAnswer{}
 	}
-	unknown := messenger.ServeAnswer{Result: descriptor.ResultUnknown, Request: o.Request, Endpoint: e.requests.endpoint.ID}
+	unknown := messenger.ServeAnswer{Result: descriptor.ResultUnknown, Workspace: o.Workspace, Request: o.Request, Endpoint: e.requests.endpoint.ID}
 	switch {
 	case o.Agent != e.Agent:
 		unknown.Reason = "the request was sent to another run of the agent"
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -205,10 +205,12 @@
 
 // ServeAnswer answers Serve, Outcome and Forward.
 type ServeAnswer struct {
-	Result  descriptor.Result
-	Request descriptor.RequestID
-	Body    []byte
-	Reason  string
+	Result descriptor.Result
+	// Workspace and Request name the request that is answered; ids are unique only within a workspace.
+	Workspace descriptor.WorkspaceID
+	Request   descriptor.RequestID
+	Body      []byte
+	Reason    string
 	// Running is set while the request runs.
 	Running bool
 	// RetryElsewhere is set on NotRun when another endpoint may still run it.
