coordinator: a repeated request is not called NotRun while the store cannot tell

Cause: every claim that could not be written was answered NotRun. A caller that repeated an id after a lost answer got NotRun although the request had run. Ruled out: asking all agents; one that died knows nothing, so it proves nothing. Change: Request.Repeated. A repeated id is Unknown when the store does not answer, a new one NotRun as before; the command line sets it for a given --id. Before: TestRepeatedRequestWithoutStoreIsUnknown got NotRun after 1 run. After: Unknown. Conclusion: during an outage NotRun rests on the caller's word that the id is new.

--- a/internal/commander/caller.go
+++ b/internal/commander/caller.go
@@ -280,7 +280,9 @@
 			if err != nil {
 				return err
 			}
-			if *id == "" {
+			// An id that was given may have been sent before; one made up here was not.
+			repeated := *id != ""
+			if !repeated {
 				*id = uniqueName("request")
 			}
 			ctx, cancel := context.WithTimeout(ctx, *timeout)
@@ -289,7 +291,7 @@
 			if *ask {
 				err = client.call(ctx, http.MethodGet, "/v1/requests/"+url.PathEscape(*workspace)+"/"+url.PathEscape(*id), nil, &a)
 			} else {
-				request := descriptor.Request{ID: descriptor.RequestID(*id), Workspace: descriptor.WorkspaceID(*workspace), Class: descriptor.ClassID(*class), Body: data}
+				request := descriptor.Request{ID: descriptor.RequestID(*id), Workspace: descriptor.WorkspaceID(*workspace), Class: descriptor.ClassID(*class), Body: data, Repeated: repeated}
 				err = client.call(ctx, http.MethodPost, "/v1/requests", request, &a)
 			}
 			if err != nil {
--- a/internal/coordinator/request_test.go
+++ b/internal/coordinator/request_test.go
@@ -15,6 +15,7 @@
 	"persimmontrail/internal/keeper"
 	"persimmontrail/internal/messenger"
 	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
 )
 
 // floor is a set of agents with endpoints that count runs, behind a network and a store in memory.
@@ -191,12 +192,11 @@
 
 func (e *Entry) testServe(class, id string) messenger.ServeAnswer {
 	request := descriptor.Request{ID: descriptor.RequestID(id), Workspace: "w", Class: descriptor.ClassID(class)}
-	for _, c := range e.basis.configuration().Classes {
-		if c.Name == request.Class {
-			return e.serve(context.Background(), request, c, false)
-		}
-	}
-	panic("no class " + class)
+	return e.serve(context.Background(), request, *findClass(e, request.Class), false)
+}
+
+func findClass(e *Entry, name descriptor.ClassID) *descriptor.Class {
+	return validator.FindClass(e.basis.configuration(), name)
 }
 
 // Guards against a false NotRun, and then a second run, when an agent dies while
@@ -379,3 +379,32 @@
 		})
 	}
 }
+
+// Guards against a false NotRun of a repeated request while the store cannot
+// tell whether it ran. A new id is refused as NotRun. Fails without
+// request.Repeated in serveOnce and withoutEndpoint.
+func TestRepeatedRequestWithoutStoreIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		first, second := f.entry("e1", "qc-sud"), f.entry("e2", "qc-sud")
+		defer first.serving.Wait()
+		defer second.serving.Wait()
+		assert.Equal(t, first.testServe("Nesting", "n").Result, descriptor.ResultDone)
+		f.mu.Lock()
+		f.down = true
+		f.mu.Unlock()
+		class := *findClass(second, "Nesting")
+		repeated := descriptor.Request{ID: "n", Workspace: "w", Class: "Nesting", Repeated: true}
+		for range 2 {
+			a := second.serve(t.Context(), repeated, class, false)
+			assert.Equal(t, a.Result, descriptor.ResultUnknown, a.Reason)
+			a = second.testServe("Nesting", "new")
+			assert.Equal(t, a.Result, descriptor.ResultNotRun, a.Reason)
+			f.stopAgent("a:1")
+			time.Sleep(3 * time.Second) // No endpoint is left the second time.
+		}
+		assert.Equal(t, f.runCount("n"), 1)
+		assert.Equal(t, f.runCount("new"), 0)
+	})
+}
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -190,10 +190,7 @@
 func (e *Entry) serveOnce(ctx context.Context, request descriptor.Request, class descriptor.Class, deadline time.Time) messenger.ServeAnswer {
 	choice, err := e.router.Acquire(ctx, ticketOf(request, deadline, nil))
 	if err != nil {
-		if a, known := e.settledClaim(ctx, request.Workspace, request.ID); known {
-			return a
-		}
-		return noAnswer(false, err.Error())
+		return e.withoutEndpoint(ctx, request, err)
 	}
 	claim := keeper.ClaimRecord{
 		Workspace: request.Workspace,
@@ -206,7 +203,7 @@
 	existing, mine, err := e.claim(ctx, claim)
 	if err != nil {
 		e.router.Done(choice, "", 0)
-		return noAnswer(false, "the request could not be recorded, so it was not started: "+err.Error())
+		return noAnswer(request.Repeated, "the request could not be recorded, so it was not started now: "+err.Error())
 	}
 	if !mine {
 		e.router.Done(choice, "", 0)
@@ -230,15 +227,19 @@
 	return e.claims.Claim(ctx, c)
 }
 
-// settledClaim looks up an earlier claim when no endpoint is free for a new one.
-func (e *Entry) settledClaim(ctx context.Context, w descriptor.WorkspaceID, id descriptor.RequestID) (messenger.ServeAnswer, bool) {
+// withoutEndpoint answers a request for which no endpoint was found. An earlier claim of it tells what became of it.
+func (e *Entry) withoutEndpoint(ctx context.Context, request descriptor.Request, cause error) messenger.ServeAnswer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer cancel()
-	c, err := e.claims.Lookup(ctx, w, id)
-	if err != nil || c.Result == descriptor.ResultNotRun {
-		return messenger.ServeAnswer{}, false
+	c, err := e.claims.Lookup(ctx, request.Workspace, request.ID)
+	switch {
+	case err == nil && c.Result != descriptor.ResultNotRun:
+		return e.resolveClaim(ctx, c, 0)
+	case err == nil || errors.Is(err, keeper.ErrNotFound):
+		return noAnswer(false, cause.Error())
+	default:
+		return noAnswer(request.Repeated, cause.Error())
 	}
-	return e.resolveClaim(ctx, c, 0), true
 }
 
 // resolveClaim answers a repeated request from the agent that the claim names.
--- a/pkg/descriptor/descriptor.go
+++ b/pkg/descriptor/descriptor.go
@@ -147,6 +147,9 @@
 	Workspace WorkspaceID
 	Class     ClassID
 	Body      []byte `json:",omitempty"`
+	// Repeated tells that the caller may have sent this ID before. While the store cannot tell whether a request that
+	// is not idempotent ran, a repeated one is answered Unknown and a new one NotRun.
+	Repeated bool `json:",omitempty"`
 }
 
 // Result says what became of a request or job.
