enforcer: answers are kept for those who wait; a leaving endpoint refuses what is queued

Two faults. 1. Cause: makeRoom dropped bodies in random order, also of answers whose caller had not read them yet, and never those of non-idempotent requests, so 16 MB of them stopped the endpoint for 10 minutes. Change: bodies with readers stay; others go oldest first, idempotent ones first. TestLargeAnswersManyAtOnce: Unknown without body before; all Done after. 2. Cause: requests queued at an agent started whenever a slot became free, also long after the endpoint or agent had begun to leave. Change: after 2 s of leaving the queue ends as NotRun with RetryElsewhere. TestLeavingStartsNothingLate: a start 8 s after leaving before; none after 3 s. Ruled out: new messages, which mayQueue refuses already.

--- a/internal/enforcer/request.go
+++ b/internal/enforcer/request.go
@@ -22,6 +22,9 @@
 	maxDeadline = time.Hour
 	// ageMargin is taken off the time for which an outcome is remembered, for the delay of a query.
 	ageMargin = time.Minute
+	// leavingGrace is how long requests that wait here may still start after the endpoint or the agent has begun to
+	// leave; 3 s are allowed, and a tick and the call itself take the rest.
+	leavingGrace = 2 * time.Second
 )
 
 // EndpointAnnouncement is what an endpoint tells the agent beside it every second.
@@ -56,6 +59,8 @@
 	ended chan struct{}
 	// admit is closed when a queued request gets a slot.
 	admit chan struct{}
+	// readers wait for answer; its body is kept for them.
+	readers int
 }
 
 func (r *record) over() bool { return !r.endedAt.IsZero() }
@@ -70,6 +75,8 @@
 	forgotten bool
 	// healthy is the state at the last tick, to notice a lapsed announcement.
 	healthy bool
+	// leavingSince is zero unless the endpoint or the agent leaves.
+	leavingSince time.Time
 }
 
 // Announce takes an announcement of the endpoint.
@@ -128,7 +135,10 @@
 	}
 	before := e.lock()
 	defer e.unlock(before)
-	return e.outcome(r)
+	a := e.outcome(r)
+	r.readers--
+	e.makeRoom(0, e.now())
+	return a
 }
 
 func (e *Enforcer) outcome(r *record) messenger.ServeAnswer {
@@ -164,6 +174,7 @@
 	}
 	old := e.requests.records[key]
 	if old != nil && (!old.over() || old.refused || old.nonIdempotent || s.NonIdempotent || old.answer.Result == descriptor.ResultDone) {
+		old.readers++
 		return old, messenger.ServeAnswer{}
 	}
 	r := &record{key: key, nonIdempotent: s.NonIdempotent, ended: make(chan struct{}), admit: make(chan struct{})}
@@ -172,6 +183,7 @@
 	}
 	if err := e.mayQueue(s, now); err != nil {
 		if r.earlier != nil {
+			old.readers++
 			return old, messenger.ServeAnswer{}
 		}
 		return nil, e.refuse(r, err.Error(), now)
@@ -181,6 +193,7 @@
 	deadline := min(s.Deadline, maxDeadline)
 	e.spawn(func() { e.runRequest(r, s.Request, now.Add(deadline), deadline) })
 	e.admitQueued()
+	r.readers++
 	return r, messenger.ServeAnswer{}
 }
 
@@ -245,6 +258,8 @@
 	defer cancel()
 	select {
 	case <-r.admit:
+	case <-r.ended:
+		return
 	case <-ctx.Done():
 		if e.leaveQueue(r) {
 			return
@@ -258,13 +273,13 @@
 	e.finishRequest(r, body, err)
 }
 
-// leaveQueue ends a request that got no slot in time and reports whether it was still queued.
+// leaveQueue ends a request that got no slot in time and reports whether it has ended without a slot.
 func (e *Enforcer) leaveQueue(r *record) bool {
 	before := e.lock()
 	defer e.unlock(before)
 	i := slices.Index(e.requests.queue, r)
 	if i < 0 {
-		return false
+		return r.over()
 	}
 	e.requests.queue = slices.Delete(e.requests.queue, i, i+1)
 	e.endNotRun(r, ErrDeadline.Error(), false, e.now())
@@ -336,8 +351,8 @@
 }
 
 // makeRoom keeps the memory within its bounds and reports whether one more
-// request may be remembered. Old records go first, then bodies of idempotent
-// answers; what is known of non-idempotent requests stays for at least remember.
+// request may be remembered. Old records go first, then bodies. Whether a
+// non-idempotent request ran stays known for at least remember.
 func (e *Enforcer) makeRoom(extra int, now time.Time) bool {
 	q := &e.requests
 	if len(q.records) >= maxRemembered {
@@ -348,16 +363,35 @@
 		}
 	}
 	if q.bytes+extra > maxAnswerBytes {
-		for _, r := range q.records {
-			if r.over() && (!r.nonIdempotent || now.Sub(r.endedAt) > remember) {
-				e.dropBody(r)
-			}
-			if q.bytes+extra <= maxAnswerBytes/2 {
-				break
+		e.dropBodies(maxAnswerBytes/2 - extra)
+	}
+	return len(q.records) < maxRemembered && q.bytes+extra <= maxAnswerBytes
+}
+
+// dropBodies drops bodies that nobody waits for until at most limit bytes are left: those of idempotent requests
+// first, and the oldest first. Keeping all answers of non-idempotent requests would stop the endpoint after 16 MB.
+func (e *Enforcer) dropBodies(limit int) {
+	var candidates []*record
+	for _, r := range e.requests.records {
+		if r.over() && r.readers == 0 && len(r.answer.Body) > 0 {
+			candidates = append(candidates, r)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *record) int {
+		if a.nonIdempotent != b.nonIdempotent {
+			if b.nonIdempotent {
+				return -1
 			}
+			return 1
 		}
+		return a.endedAt.Compare(b.endedAt)
+	})
+	for _, r := range candidates {
+		if e.requests.bytes <= limit {
+			return
+		}
+		e.dropBody(r)
 	}
-	return len(q.records) < maxRemembered && q.bytes+extra <= maxAnswerBytes
 }
 
 func (e *Enforcer) dropBody(r *record) {
@@ -410,6 +444,7 @@
 	now := e.now()
 	key := requestKey{o.Workspace, o.Request}
 	if r := e.requests.records[key]; r != nil {
+		r.readers++
 		return r, messenger.ServeAnswer{}
 	}
 	unknown := messenger.ServeAnswer{Result: descriptor.ResultUnknown, Workspace: o.Workspace, Request: o.Request, Endpoint: e.requests.endpoint.ID}
@@ -436,6 +471,7 @@
 			e.forget(r)
 		}
 	}
+	e.refuseQueued(now)
 	// Load alone causes no immediate report: it changes with each request, and the byte budget allows few reports.
 	if healthy := e.endpointHealthy(now); healthy != q.healthy {
 		q.healthy = healthy
@@ -443,6 +479,26 @@
 	}
 }
 
+// refuseQueued ends the requests that wait at an endpoint that has been leaving for leavingGrace, so that they can
+// start elsewhere.
+func (e *Enforcer) refuseQueued(now time.Time) {
+	q := &e.requests
+	switch {
+	case !e.leaving && !q.endpoint.Leaving:
+		q.leavingSince = time.Time{}
+		return
+	case q.leavingSince.IsZero():
+		q.leavingSince = now
+	}
+	if now.Sub(q.leavingSince) < leavingGrace {
+		return
+	}
+	for _, r := range q.queue {
+		e.endNotRun(r, ErrLeaving.Error(), true, now)
+	}
+	q.queue = nil
+}
+
 // Pending returns how many requests are queued or running.
 func (e *Enforcer) Pending() int {
 	before := e.lock()
--- a/internal/enforcer/request_test.go
+++ b/internal/enforcer/request_test.go
@@ -229,3 +229,86 @@
 		expect(ask("run2", "c", time.Second), descriptor.ResultNotRun)
 	})
 }
+
+// Guards against an answer that is dropped before its caller has read it, and
+// against an agent that refuses all work because of answers it keeps. Fails
+// without the check of readers in dropBodies, and without dropping answers of
+// requests that are not idempotent there.
+func TestLargeAnswersManyAtOnce(t *testing.T) {
+	for _, nonIdempotent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			const size, slots, rounds = 1 << 20, 32, 4
+			served := func(context.Context, ServeCall) ([]byte, error) {
+				time.Sleep(time.Second)
+				return make([]byte, size), nil
+			}
+			e := &Enforcer{Agent: "run1", Endpoint: Endpoint{Serve: served}}
+			for round := range rounds {
+				e.SetPermit(messenger.Permit{Revision: 1, ValidFor: 2 * time.Second}, time.Now())
+				e.Announce(EndpointAnnouncement{ID: "e", Slots: slots, Connections: slots})
+				var wg sync.WaitGroup
+				for i := range slots {
+					wg.Go(func() {
+						request := descriptor.Request{Workspace: "w", ID: descriptor.RequestID(fmt.Sprint(round, "-", i))}
+						a := e.Serve(t.Context(), messenger.Serve{Agent: "run1", Request: request, NonIdempotent: nonIdempotent, Deadline: 10 * time.Second})
+						if a.Result != descriptor.ResultDone || len(a.Body) != size {
+							t.Errorf("%s: %s with %d bytes: %s", request.ID, a.Result, len(a.Body), a.Reason)
+						}
+					})
+				}
+				wg.Wait()
+			}
+			if e.requests.bytes > maxAnswerBytes {
+				t.Errorf("%d bytes are kept", e.requests.bytes)
+			}
+		})
+	}
+}
+
+// Guards against requests that wait at an agent and start after its endpoint or
+// the agent has begun to leave. Fails without the call of refuseQueued in tickRequests.
+func TestLeavingStartsNothingLate(t *testing.T) {
+	for _, byEndpoint := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var last time.Time
+			served := func(context.Context, ServeCall) ([]byte, error) {
+				last = time.Now()
+				time.Sleep(8 * time.Second)
+				return []byte("x"), nil
+			}
+			e := &Enforcer{Agent: "run1", Endpoint: Endpoint{Serve: served}}
+			endpoint := EndpointAnnouncement{ID: "e", Slots: 1, Connections: 1}
+			keep := func() {
+				e.SetPermit(messenger.Permit{Revision: 1, ValidFor: 2 * time.Second}, time.Now())
+				e.Announce(endpoint)
+				e.Tick(time.Now())
+			}
+			keep()
+			answers := make(chan messenger.ServeAnswer, 2)
+			for i := range 2 {
+				go func() {
+					request := descriptor.Request{Workspace: "w", ID: descriptor.RequestID(fmt.Sprint(i))}
+					answers <- e.Serve(t.Context(), messenger.Serve{Agent: "run1", Request: request, NonIdempotent: true, Deadline: time.Minute})
+				}()
+				synctest.Wait()
+			}
+			left := time.Now()
+			endpoint.Leaving = byEndpoint
+			if !byEndpoint {
+				e.SetLeaving()
+			}
+			for range 100 {
+				keep()
+				time.Sleep(100 * time.Millisecond)
+			}
+			if last.After(left.Add(3 * time.Second)) {
+				t.Errorf("a request started %v after leaving", last.Sub(left))
+			}
+			results := map[descriptor.Result]int{(<-answers).Result: 1}
+			results[(<-answers).Result]++
+			if results[descriptor.ResultDone] != 1 || results[descriptor.ResultNotRun] != 1 {
+				t.Errorf("results %v, want one Done and one NotRun", results)
+			}
+		})
+	}
+}
