coordinator: a leaving entry serves until balancers have noticed, and exits within 30 s

Cause: a leaving entry answered NotRun at once on connections that balancers still used, closed idle connections that carried the next request, and waited without bound for requests that take longer than 30 s. Ruled out: the http.Server; it waits for active requests only. Change: requests are served for 2 s with Connection: close while readyz fails; after 26 s the running ones are answered Unknown, and the wait ends at 30 s. After: Unknown within 30 s, and the whole answer later by id at another entry. Conclusion: a planned stop cuts no connection with a request.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -23,6 +23,15 @@
 // shutdownLimit bounds a graceful shutdown.
 const shutdownLimit = 30 * time.Second
 
+const (
+	// noticeTime is how long a leaving entry still takes requests, so that a balancer that polls readyz every second
+	// stops using it before its connections end.
+	noticeTime = 2 * time.Second
+	// drainLimit is how long requests may take after an entry began to leave; later ones are answered Unknown. The rest
+	// of shutdownLimit is for their answers.
+	drainLimit = 26 * time.Second
+)
+
 // Entry is one entry process.
 type Entry struct {
 	settings Settings
@@ -53,6 +62,9 @@
 	leaving atomic.Bool
 	// serving counts requests of callers that are not answered yet.
 	serving sync.WaitGroup
+	// drained ends drainLimit after the entry began to leave, and endDrain ends it.
+	drained  context.Context
+	endDrain context.CancelFunc
 }
 
 // Run runs an entry until ctx ends, then shuts it down gracefully.
@@ -93,6 +105,7 @@
 	e.duty.resigning = make(chan struct{})
 	e.duty.resigned = make(chan struct{})
 	e.duty.records = newRecordWriter()
+	e.drained, e.endDrain = context.WithCancel(context.Background())
 	e.startedAt = e.now()
 	e.registerGauges()
 	return e
@@ -141,28 +154,52 @@
 	return ignoreClosed(result)
 }
 
-// shutdown stops taking work, lets running requests finish and gives up the
-// term and the membership, in this order and within shutdownLimit.
+// shutdown gives up the term and the membership while requests are still
+// taken, then stops taking them and lets the running ones finish, within shutdownLimit.
 func (e *Entry) shutdown(web *http.Server) {
 	e.log.Info("entry leaves", "limit", shutdownLimit)
-	e.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
+	e.beginDrain()
+	defer e.endDrain()
+	notice := time.NewTimer(noticeTime)
+	defer notice.Stop()
 	e.duty.release(ctx)
 	e.peers.leave(ctx)
+	<-notice.C
 	if err := web.Shutdown(ctx); err != nil {
 		e.log.Warn("requests were cut at the limit of the shutdown", "err", err)
 	}
 	if err := e.server.Shutdown(ctx); err != nil {
 		e.log.Warn("messages were cut at the limit of the shutdown", "err", err)
 	}
-	e.serving.Wait()
+	e.awaitServing(ctx)
 	if e.client != nil {
 		_ = e.client.Close()
 	}
 	e.log.Info("entry stopped")
 }
 
+// beginDrain makes readyz fail and bounds the time of requests.
+func (e *Entry) beginDrain() {
+	e.leaving.Store(true)
+	time.AfterFunc(drainLimit, e.endDrain)
+}
+
+// awaitServing waits for requests and the records of their outcomes until ctx ends.
+func (e *Entry) awaitServing(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		e.serving.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		e.log.Warn("requests were left at the limit of the shutdown")
+	}
+}
+
 func ignoreClosed(err error) error {
 	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -121,6 +121,10 @@
 
 func (e *Entry) answer(w http.ResponseWriter, r *http.Request, h handlerFunc, c caller, err error) {
 	r.Body = http.MaxBytesReader(w, r.Body, maxHTTPBody)
+	if e.leaving.Load() {
+		// The caller's next request needs a new connection, which its balancer opens to another entry.
+		w.Header().Set("Connection", "close")
+	}
 	var body any
 	if err == nil {
 		body, err = h(r.Context(), c, r)
@@ -274,9 +278,6 @@
 	if err := validator.Request(&request, cfg); err != nil {
 		return nil, err
 	}
-	if e.leaving.Load() {
-		return nil, notRun(http.StatusServiceUnavailable, "this entry is leaving")
-	}
 	// A caller that hangs up does not end a request that runs at most once: its outcome is still recorded.
 	class := *validator.FindClass(cfg, request.Class)
 	if class.NonIdempotent {
--- a/internal/coordinator/request_test.go
+++ b/internal/coordinator/request_test.go
@@ -408,3 +408,40 @@
 		assert.Equal(t, f.runCount("new"), 0)
 	})
 }
+
+// Guards against an entry that does not exit within 30 s because a request
+// takes longer, and against a connection that is cut then: the caller gets
+// Unknown, and the outcome later by id. Fails without the use of e.drained in serve.
+func TestShutdownAnswersWhatItCannotAwait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		f.serve = func(_ context.Context, _ string, c enforcer.ServeCall) ([]byte, error) {
+			time.Sleep(45 * time.Second)
+			return answerOf(c.Request), nil
+		}
+		e, other := f.entry("e1", "qc-sud"), f.entry("e2", "qc-sud")
+		began := time.Now()
+		answers := make(chan messenger.ServeAnswer)
+		long := descriptor.Class{Name: "Nesting", FinishWithin: descriptor.Duration(time.Hour), Service: "measurement", NonIdempotent: true}
+		go func() {
+			answers <- e.serve(t.Context(), descriptor.Request{ID: "n", Workspace: "w", Class: "Nesting"}, long, false)
+		}()
+		synctest.Wait()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), shutdownLimit)
+		defer cancel()
+		e.beginDrain()
+		a := <-answers
+		assert.Equal(t, a.Result, descriptor.ResultUnknown, a.Reason)
+		e.awaitServing(ctx)
+		assert.Assert(t, time.Since(began) < shutdownLimit, "%v", time.Since(began))
+		time.Sleep(time.Minute)
+		late, err := other.lookUpRequest(t.Context(), "w", "n")
+		assert.NilError(t, err)
+		assert.Equal(t, late.Result, descriptor.ResultDone, late.Reason)
+		assert.Equal(t, string(late.Body), "w/n")
+		assert.Equal(t, f.runCount("n"), 1)
+		other.serving.Wait()
+	})
+}
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -40,6 +40,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	defer context.AfterFunc(e.drained, cancel)()
 	e.serving.Add(1)
 	defer e.serving.Done()
 
