coordinator: a request that runs at most once goes elsewhere when an agent certainly did not run it

Cause: serveOnce tried one agent only, so each agent that began to leave refused the callers whose requests were on the way, in every rolling replacement. Ruled out: trying again under the same claim; the agent named there has promised. Change: the claim ends as NotRun in the store first, then another agent gets a new claim, within deadline and retry budget. Conclusion: only a proof of NotRun, recorded, permits a second try.

--- a/internal/coordinator/request_test.go
+++ b/internal/coordinator/request_test.go
@@ -445,3 +445,38 @@
 		other.serving.Wait()
 	})
 }
+
+// Guards against a caller that is refused because one agent began to leave
+// while its request was on the way, although another could serve it; and against a second
+// run or a storm when that repeats. Fails without the loop in serveOnce, or without its use of Retry.
+func TestRefusedByLeavingAgentRunsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		f.startAgent("b:1")
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		f.agents["a:1"].SetLeaving()
+		for i := range 8 {
+			id := fmt.Sprint("n", i)
+			a := e.testServe("Nesting", id)
+			assert.Equal(t, a.Result, descriptor.ResultDone, a.Reason)
+			assert.Equal(t, f.runCount(descriptor.RequestID(id)), 1)
+		}
+		f.agents["b:1"].SetLeaving()
+		sent := 0
+		f.intercept = func(_ string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			if kind == messenger.KindServe {
+				sent++
+			}
+			return next()
+		}
+		const requests = 60
+		for i := range requests {
+			a := e.testServe("Nesting", fmt.Sprint("m", i))
+			assert.Equal(t, a.Result, descriptor.ResultNotRun, a.Reason)
+		}
+		assert.Assert(t, sent <= requests+requests/10+10+2, "%d attempts of %d requests", sent, requests)
+		t.Logf("%d attempts of %d requests while all agents refuse", sent, requests)
+	})
+}
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -187,12 +187,33 @@
 }
 
 // serveOnce serves a request that runs at most once: the claim names the one
-// agent that may run it and is durable before the request is sent.
+// agent that may run it and is durable before the request is sent. When that
+// agent certainly does not run it, the claim ends as NotRun, and another agent
+// gets a new claim within the deadline and the retry budget.
 func (e *Entry) serveOnce(ctx context.Context, request descriptor.Request, class descriptor.Class, deadline time.Time) messenger.ServeAnswer {
-	choice, err := e.router.Acquire(ctx, ticketOf(request, deadline, nil))
-	if err != nil {
-		return e.withoutEndpoint(ctx, request, err)
+	var tried []string
+	var refused messenger.ServeAnswer
+	for {
+		choice, err := e.router.Acquire(ctx, ticketOf(request, deadline, tried))
+		switch {
+		case err != nil && len(tried) > 0:
+			return refused
+		case err != nil:
+			return e.withoutEndpoint(ctx, request, err)
+		}
+		a, elsewhere := e.serveClaimed(ctx, choice, request, class, deadline)
+		if !elsewhere || ctx.Err() != nil || !e.router.Retry(e.now()) {
+			return a
+		}
+		e.metrics.Count("request_retries_total", "class", string(class.Name))
+		tried = append(tried, choice.Agent)
+		refused = a
 	}
+}
+
+// serveClaimed claims a request for one agent and tries it there. elsewhere
+// tells that it did not run there and that the claim has ended as NotRun.
+func (e *Entry) serveClaimed(ctx context.Context, choice dispatcher.Choice, request descriptor.Request, class descriptor.Class, deadline time.Time) (a messenger.ServeAnswer, elsewhere bool) {
 	claim := keeper.ClaimRecord{
 		Workspace: request.Workspace,
 		ID:        request.ID,
@@ -204,22 +225,23 @@
 	existing, mine, err := e.claim(ctx, claim)
 	if err != nil {
 		e.router.Done(choice, "", 0)
-		return noAnswer(request.Repeated, "the request could not be recorded, so it was not started now: "+err.Error())
+		return noAnswer(request.Repeated, "the request could not be recorded, so it was not started now: "+err.Error()), false
 	}
 	if !mine {
 		e.router.Done(choice, "", 0)
-		return e.resolveClaim(ctx, existing, deadline.Sub(e.now()))
+		return e.resolveClaim(ctx, existing, deadline.Sub(e.now())), false
 	}
 	a, failure := e.attempt(ctx, choice, request, class, deadline)
 	switch {
 	case failure == nil:
 	case failure.notRun:
 		a = messenger.ServeAnswer{Result: descriptor.ResultNotRun, Reason: failure.reason}
+		return a, e.endClaim(claim, a) == nil
 	case a.Result != descriptor.ResultFailed:
 		a = messenger.ServeAnswer{Result: descriptor.ResultUnknown, Reason: failure.reason}
 	}
 	e.finishClaim(claim, a)
-	return a
+	return a, false
 }
 
 func (e *Entry) claim(ctx context.Context, c keeper.ClaimRecord) (keeper.ClaimRecord, bool, error) {
@@ -272,13 +294,18 @@
 	if a.Result == descriptor.ResultUnknown {
 		return
 	}
-	e.serving.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-		defer cancel()
-		if err := e.claims.Finish(ctx, c.Workspace, c.ID, c.Owner, a.Result, a.Reason); err != nil {
-			e.metrics.Count("store_errors_total", "call", "claim outcome")
-		}
-	})
+	e.serving.Go(func() { _ = e.endClaim(c, a) })
+}
+
+// endClaim records the outcome of a claim, after which a claim that ended as NotRun gives way.
+func (e *Entry) endClaim(c keeper.ClaimRecord, a messenger.ServeAnswer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	err := e.claims.Finish(ctx, c.Workspace, c.ID, c.Owner, a.Result, a.Reason)
+	if err != nil {
+		e.metrics.Count("store_errors_total", "call", "claim outcome")
+	}
+	return err
 }
 
 // lookUpRequest answers a caller who asks later with the id of a request.
