--- /dev/null
+++ b/internal/coordinator/request_test.go
@@ -0,0 +1,482 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/enforcer"
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+	"persimmontrail/pkg/validator"
+)
+
+// floor is a set of agents with endpoints that count runs, behind a network and a store in memory.
+type floor struct {
+	mu     sync.Mutex
+	agents map[string]*enforcer.Enforcer
+	// runs counts starts at all endpoints.
+	runs map[descriptor.RequestID]int
+	// store holds the claims; down refuses calls, and lost lets a write take effect and loses its answer.
+	store map[string]stored
+	down  bool
+	lost  func() bool
+	// intercept may replace a call to an agent; it calls next to let it through.
+	intercept func(address string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error)
+	// serve may replace the endpoint.
+	serve func(ctx context.Context, agent string, c enforcer.ServeCall) ([]byte, error)
+	made  int
+}
+
+type stored struct {
+	data    []byte
+	version keeper.Version
+}
+
+func newFloor() *floor {
+	return &floor{agents: map[string]*enforcer.Enforcer{}, runs: map[descriptor.RequestID]int{}, store: map[string]stored{}}
+}
+
+// startAgent starts a run of an agent at an address; one that ran there is gone.
+func (f *floor) startAgent(address string) *enforcer.Enforcer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.made++
+	name := fmt.Sprintf("%s-run%d", address, f.made)
+	e := &enforcer.Enforcer{Agent: name, FailureDomain: "Montreal"}
+	e.Endpoint.Serve = func(ctx context.Context, c enforcer.ServeCall) ([]byte, error) {
+		f.mu.Lock()
+		f.runs[c.Request.ID]++
+		serve := f.serve
+		f.mu.Unlock()
+		if serve != nil {
+			return serve(ctx, name, c)
+		}
+		return answerOf(c.Request), nil
+	}
+	e.Announce(enforcer.EndpointAnnouncement{ID: descriptor.EndpointID(address), Service: "measurement", URL: "http://x", Slots: 4, Connections: 64})
+	e.SetPermit(messenger.Permit{Revision: 1, ValidFor: 2 * time.Second}, time.Now())
+	f.agents[address] = e
+	return e
+}
+
+func answerOf(r descriptor.Request) []byte { return []byte(string(r.Workspace) + "/" + string(r.ID)) }
+
+func (f *floor) stopAgent(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.agents, address)
+}
+
+func (f *floor) runCount(id descriptor.RequestID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
+// call is the network: it reaches the run of an agent that is at the address now.
+func (f *floor) call(ctx context.Context, address string, kind messenger.Kind, request, answer any) error {
+	next := func() (messenger.ServeAnswer, error) {
+		f.mu.Lock()
+		a := f.agents[address]
+		f.mu.Unlock()
+		if a == nil {
+			return messenger.ServeAnswer{}, messenger.ErrNotSent
+		}
+		if err := ctx.Err(); err != nil {
+			return messenger.ServeAnswer{}, errors.Join(messenger.ErrNotSent, err)
+		}
+		got := make(chan messenger.ServeAnswer, 1)
+		go func() {
+			switch m := request.(type) {
+			case messenger.Serve:
+				got <- a.Serve(ctx, m)
+			case messenger.OutcomeQuery:
+				got <- a.Outcome(ctx, m)
+			}
+		}()
+		select {
+		case s := <-got:
+			return s, nil
+		case <-ctx.Done():
+			return messenger.ServeAnswer{}, ctx.Err()
+		}
+	}
+	f.mu.Lock()
+	intercept := f.intercept
+	f.mu.Unlock()
+	if intercept == nil {
+		intercept = func(_ string, _ messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			return next()
+		}
+	}
+	s, err := intercept(address, kind, next)
+	if err == nil {
+		*answer.(*messenger.ServeAnswer) = s
+	}
+	return err
+}
+
+func (f *floor) keeperStore() *keeper.Store {
+	return &keeper.Store{
+		Get: func(_ context.Context, key string) ([]byte, keeper.Version, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			v, ok := f.store[key]
+			switch {
+			case f.down:
+				return nil, 0, keeper.ErrUnavailable
+			case !ok:
+				return nil, 0, keeper.ErrNotFound
+			}
+			return v.data, v.version, nil
+		},
+		Put: func(_ context.Context, key string, data []byte, expect keeper.Version, _ keeper.LeaseID) (keeper.Version, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			switch {
+			case f.down:
+				return 0, keeper.ErrUnavailable
+			case f.store[key].version != expect:
+				return 0, keeper.ErrConflict
+			}
+			f.store[key] = stored{data, expect + 1}
+			if f.lost != nil && f.lost() {
+				return 0, keeper.ErrOutcomeUnknown
+			}
+			return expect + 1, nil
+		},
+	}
+}
+
+// entry returns an entry that knows the given agents. It runs no duties.
+func (f *floor) entry(name string, region descriptor.RegionID) *Entry {
+	e := newEntry(Settings{Name: descriptor.EntryID(name), Region: region, FailureDomain: "Montreal", Store: f.keeperStore(), Call: f.call})
+	cfg := &descriptor.Configuration{
+		Revision:   1,
+		Workspaces: []descriptor.Workspace{{Name: "w"}, {Name: "v"}},
+		Classes: []descriptor.Class{
+			{Name: "Preview", FinishWithin: descriptor.Duration(8 * time.Second), Share: 1, Service: "measurement"},
+			{Name: "Nesting", FinishWithin: descriptor.Duration(20 * time.Second), Share: 1, Service: "measurement", NonIdempotent: true},
+		},
+		FailureDomains: []descriptor.FailureDomain{{Name: "Montreal", Region: "qc-sud"}, {Name: "Saguenay", Region: "qc-nord"}},
+	}
+	e.adopt(cfg)
+	f.report(e)
+	return e
+}
+
+// report tells an entry the state of all agents.
+func (f *floor) report(e *Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, a := range f.agents {
+		s := a.Snapshot(0)
+		state := messenger.AgentServing
+		if s.Leaving {
+			state = messenger.AgentLeaving
+		}
+		e.handleReport(messenger.Report{
+			Agent: a.Agent, Sequence: uint64(time.Now().UnixNano()), State: state, Address: address, Full: true,
+			FailureDomain: "Montreal", Region: e.settings.Region, Endpoint: s.Endpoint,
+		})
+	}
+}
+
+func (e *Entry) testServe(class, id string) messenger.ServeAnswer {
+	request := descriptor.Request{ID: descriptor.RequestID(id), Workspace: "w", Class: descriptor.ClassID(class)}
+	return e.serve(context.Background(), request, *findClass(e, request.Class), false)
+}
+
+func findClass(e *Entry, name descriptor.ClassID) *descriptor.Class {
+	return validator.FindClass(e.basis.configuration(), name)
+}
+
+// Guards against a false NotRun, and then a second run, when an agent dies while
+// a request runs there and cannot be reached for its outcome. Fails when
+// attempt takes ErrNotSent of the outcome query for that of the request.
+func TestUnreachableOutcomeIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		f.intercept = func(address string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			if kind == messenger.KindServe {
+				_, _ = next()
+				f.stopAgent(address)
+				return messenger.ServeAnswer{}, messenger.ErrLost
+			}
+			return next()
+		}
+		for _, class := range []string{"Nesting", "Preview"} {
+			time.Sleep(2 * time.Second) // The run before counts as silent.
+			f.startAgent("a:1")
+			f.report(e)
+			a := e.testServe(class, class)
+			assert.Equal(t, f.runCount(descriptor.RequestID(class)), 1)
+			assert.Equal(t, a.Result, descriptor.ResultUnknown, "%s: %s", class, a.Reason)
+		}
+		time.Sleep(2 * time.Second)
+		f.startAgent("b:1")
+		f.report(e)
+		f.intercept = nil
+		a := e.testServe("Nesting", "Nesting")
+		assert.Equal(t, a.Result, descriptor.ResultUnknown, a.Reason)
+		assert.Equal(t, f.runCount("Nesting"), 1)
+	})
+}
+
+// Guards against a second run by an agent that was started again at the address
+// of the one that had promised never to run the request. Fails without the check
+// of Serve.Agent in enforcer.admitRequest.
+func TestServeReachesOnlyTheClaimedRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		slow, other := f.entry("e1", "qc-sud"), f.entry("e2", "qc-sud")
+		defer slow.serving.Wait()
+		defer other.serving.Wait()
+		paused := make(chan struct{})
+		f.intercept = func(address string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			if kind == messenger.KindServe {
+				<-paused
+			}
+			return next()
+		}
+		late := make(chan messenger.ServeAnswer)
+		go func() { late <- slow.testServe("Nesting", "n") }()
+		time.Sleep(time.Second) // The claim is written and its Serve is delayed.
+		_, err := other.lookUpRequest(t.Context(), "w", "n")
+		assert.NilError(t, err)
+		other.serving.Wait()
+		time.Sleep(2 * time.Second) // The first run of a counts as silent.
+		f.stopAgent("a:1")
+		f.startAgent("b:1")
+		f.report(other)
+		f.startAgent("a:1")
+		f.mu.Lock()
+		f.intercept = nil
+		f.mu.Unlock()
+		a := other.testServe("Nesting", "n")
+		assert.Equal(t, a.Result, descriptor.ResultDone, a.Reason)
+		close(paused)
+		a = <-late
+		assert.Equal(t, f.runCount("n"), 1, "%s: %s", a.Result, a.Reason)
+	})
+}
+
+// Guards against a caller that gets the answer to another request: of another
+// id, or of the same id of another workspace, in answers to Serve, Outcome and
+// Forward. Fails without belongsTo in Entry.ask.
+func TestCrossedAnswersReachNoCaller(t *testing.T) {
+	foreign := []messenger.ServeAnswer{
+		{Result: descriptor.ResultDone, Workspace: "w", Request: "other", Body: []byte("w/other")},
+		{Result: descriptor.ResultDone, Workspace: "v", Request: "r", Body: []byte("v/r")},
+		{Result: descriptor.ResultDone, Body: []byte("nobody's")},
+	}
+	kinds := map[messenger.Kind][]messenger.Kind{
+		messenger.KindServe:   {messenger.KindServe},
+		messenger.KindOutcome: {messenger.KindServe, messenger.KindOutcome},
+		messenger.KindForward: {messenger.KindForward},
+	}
+	for name, crossed := range kinds {
+		for _, class := range []string{"Preview", "Nesting"} {
+			for _, wrong := range foreign {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFloor()
+					f.startAgent("a:1")
+					e := f.entry("e1", "qc-sud")
+					defer e.serving.Wait()
+					if name == messenger.KindForward {
+						f.stopAgent("a:1")
+						time.Sleep(2 * time.Second) // Its agent counts as silent.
+						e.peers.hear(messenger.Peer{Entry: "far", Address: "far:1", Region: "qc-nord"})
+					}
+					f.intercept = func(_ string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+						a, err := next()
+						for _, k := range crossed {
+							if k == kind {
+								return wrong, nil
+							}
+						}
+						return a, err
+					}
+					a := e.testServe(class, "r")
+					if a.Result == descriptor.ResultDone {
+						assert.Equal(t, string(a.Body), "w/r", "%s %s", name, class)
+					}
+					assert.Assert(t, a.Result != descriptor.ResultNotRun || f.runCount("r") == 0, "%s %s: false NotRun: %s", name, class, a.Reason)
+					repeated := e.testServe(class, "r")
+					if repeated.Result == descriptor.ResultDone {
+						assert.Equal(t, string(repeated.Body), "w/r", "%s %s", name, class)
+					}
+					assert.Assert(t, class != "Nesting" || f.runCount("r") <= 1)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a forwarded request whose answer is lost and that is then called not run.
+// Fails when forward drops what it learned from an error.
+func TestLostForwardIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		e.peers.hear(messenger.Peer{Entry: "far", Address: "far:1", Region: "qc-nord"})
+		for want, err := range map[descriptor.Result]error{descriptor.ResultUnknown: messenger.ErrLost, descriptor.ResultNotRun: messenger.ErrNotSent} {
+			sent := 0
+			f.intercept = func(_ string, _ messenger.Kind, _ func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+				sent++
+				return messenger.ServeAnswer{}, err
+			}
+			e.peers.hear(messenger.Peer{Entry: "far", Address: "far:1", Region: "qc-nord"})
+			a := e.testServe("Preview", string(want))
+			assert.Equal(t, a.Result, want, a.Reason)
+			assert.Equal(t, sent, 1)
+		}
+	})
+}
+
+// Guards against a repeated caller or a later question that gets Done without the
+// answer, or that loses an outcome the store has, after the agent is gone or was
+// replaced. Fails without the case of c.Resolved in resolveClaim.
+func TestRecordedOutcomeOutlivesTheAgent(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFloor()
+			f.startAgent("a:1")
+			f.serve = func(_ context.Context, _ string, c enforcer.ServeCall) ([]byte, error) {
+				if c.Request.ID == "failed" {
+					return nil, enforcer.ErrFailed
+				}
+				return answerOf(c.Request), nil
+			}
+			e := f.entry("e1", "qc-sud")
+			defer e.serving.Wait()
+			assert.Equal(t, e.testServe("Nesting", "done").Result, descriptor.ResultDone)
+			assert.Equal(t, e.testServe("Nesting", "failed").Result, descriptor.ResultFailed)
+			e.serving.Wait()
+			f.stopAgent("a:1")
+			if restarted {
+				f.startAgent("a:1")
+			}
+			for id, want := range map[string]descriptor.Result{"done": descriptor.ResultUnknown, "failed": descriptor.ResultFailed} {
+				a, err := e.lookUpRequest(t.Context(), "w", descriptor.RequestID(id))
+				assert.NilError(t, err)
+				assert.Equal(t, a.Result, want, "restarted %v: %s %s", restarted, id, a.Reason)
+				assert.Assert(t, a.Result != descriptor.ResultDone || string(a.Body) == "w/"+id)
+			}
+		})
+	}
+}
+
+// Guards against a false NotRun of a repeated request while the store cannot
+// tell whether it ran. A new id is refused as NotRun. Fails without
+// request.Repeated in serveOnce and withoutEndpoint.
+func TestRepeatedRequestWithoutStoreIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		first, second := f.entry("e1", "qc-sud"), f.entry("e2", "qc-sud")
+		defer first.serving.Wait()
+		defer second.serving.Wait()
+		assert.Equal(t, first.testServe("Nesting", "n").Result, descriptor.ResultDone)
+		f.mu.Lock()
+		f.down = true
+		f.mu.Unlock()
+		class := *findClass(second, "Nesting")
+		repeated := descriptor.Request{ID: "n", Workspace: "w", Class: "Nesting", Repeated: true}
+		for range 2 {
+			a := second.serve(t.Context(), repeated, class, false)
+			assert.Equal(t, a.Result, descriptor.ResultUnknown, a.Reason)
+			a = second.testServe("Nesting", "new")
+			assert.Equal(t, a.Result, descriptor.ResultNotRun, a.Reason)
+			f.stopAgent("a:1")
+			time.Sleep(3 * time.Second) // No endpoint is left the second time.
+		}
+		assert.Equal(t, f.runCount("n"), 1)
+		assert.Equal(t, f.runCount("new"), 0)
+	})
+}
+
+// Guards against an entry that does not exit within 30 s because a request
+// takes longer, and against a connection that is cut then: the caller gets
+// Unknown, and the outcome later by id. Fails without the use of e.drained in serve.
+func TestShutdownAnswersWhatItCannotAwait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		f.serve = func(_ context.Context, _ string, c enforcer.ServeCall) ([]byte, error) {
+			time.Sleep(45 * time.Second)
+			return answerOf(c.Request), nil
+		}
+		e, other := f.entry("e1", "qc-sud"), f.entry("e2", "qc-sud")
+		began := time.Now()
+		answers := make(chan messenger.ServeAnswer)
+		long := descriptor.Class{Name: "Nesting", FinishWithin: descriptor.Duration(time.Hour), Service: "measurement", NonIdempotent: true}
+		go func() {
+			answers <- e.serve(t.Context(), descriptor.Request{ID: "n", Workspace: "w", Class: "Nesting"}, long, false)
+		}()
+		synctest.Wait()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), shutdownLimit)
+		defer cancel()
+		e.beginDrain()
+		a := <-answers
+		assert.Equal(t, a.Result, descriptor.ResultUnknown, a.Reason)
+		e.awaitServing(ctx)
+		assert.Assert(t, time.Since(began) < shutdownLimit, "%v", time.Since(began))
+		time.Sleep(time.Minute)
+		late, err := other.lookUpRequest(t.Context(), "w", "n")
+		assert.NilError(t, err)
+		assert.Equal(t, late.Result, descriptor.ResultDone, late.Reason)
+		assert.Equal(t, string(late.Body), "w/n")
+		assert.Equal(t, f.runCount("n"), 1)
+		other.serving.Wait()
+	})
+}
+
+// Guards against a caller that is refused because one agent began to leave
+// while its request was on the way, although another could serve it; and against a second
+// run or a storm when that repeats. Fails without the loop in serveOnce, or without its use of Retry.
+func TestRefusedByLeavingAgentRunsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.startAgent("a:1")
+		f.startAgent("b:1")
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		f.agents["a:1"].SetLeaving()
+		for i := range 8 {
+			id := fmt.Sprint("n", i)
+			a := e.testServe("Nesting", id)
+			assert.Equal(t, a.Result, descriptor.ResultDone, a.Reason)
+			assert.Equal(t, f.runCount(descriptor.RequestID(id)), 1)
+		}
+		f.agents["b:1"].SetLeaving()
+		sent := 0
+		f.intercept = func(_ string, kind messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+			if kind == messenger.KindServe {
+				sent++
+			}
+			return next()
+		}
+		const requests = 60
+		for i := range requests {
+			a := e.testServe("Nesting", fmt.Sprint("m", i))
+			assert.Equal(t, a.Result, descriptor.ResultNotRun, a.Reason)
+		}
+		assert.Assert(t, sent <= requests+requests/10+10+2, "%d attempts of %d requests", sent, requests)
+		t.Logf("%d attempts of %d requests while all agents refuse", sent, requests)
+	})
+}
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -40,6 +40,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	defer context.AfterFunc(e.drained, cancel)()
 	e.serving.Add(1)
 	defer e.serving.Done()
 
@@ -49,7 +50,7 @@
 	} else {
 		a = e.serveWithRetries(ctx, request, class, deadline, forwarded)
 	}
-	a.Request = request.ID
+	a.Workspace, a.Request = request.Workspace, request.ID
 	e.metrics.Completion("request", request.Workspace, request.Class, a.Result, e.now().Sub(began))
 	if a.Result != descriptor.ResultDone {
 		e.audit("request "+string(request.Workspace)+"/"+string(request.ID), string(a.Result), a.Reason)
@@ -74,8 +75,14 @@
 	mayHaveRun := false
 	for {
 		ticket := ticketOf(request, deadline, tried)
-		if a, ok := e.forward(ctx, request, ticket, deadline, forwarded); ok {
-			return a
+		if !forwarded {
+			a, sent, failure := e.forward(ctx, request, ticket, deadline)
+			if sent && failure == nil {
+				return a
+			}
+			// A request is forwarded once, so that an outage of all endpoints does not fill the link.
+			forwarded = sent
+			mayHaveRun = mayHaveRun || sent && !failure.notRun
 		}
 		choice, err := e.router.Acquire(ctx, ticket)
 		if err != nil {
@@ -104,17 +111,43 @@
 	return messenger.ServeAnswer{Result: descriptor.ResultNotRun, Reason: reason}
 }
 
+// errForeignAnswer means that a process answered for another request. The request itself may have run.
+var errForeignAnswer = errors.New("the answer belongs to another request")
+
+// ask sends a message about one request. It is the only way for an answer to a
+// request to enter this process, so an answer to another request reaches no caller.
+func (e *Entry) ask(ctx context.Context, address string, kind messenger.Kind, w descriptor.WorkspaceID, id descriptor.RequestID, message any) (messenger.ServeAnswer, error) {
+	var a messenger.ServeAnswer
+	if err := e.call(ctx, address, kind, message, &a); err != nil {
+		return messenger.ServeAnswer{}, err
+	}
+	if !belongsTo(a, w, id) {
+		e.metrics.Count("foreign_answers_total", "kind", string(kind))
+		return messenger.ServeAnswer{}, fmt.Errorf("%w: %s/%s", errForeignAnswer, a.Workspace, a.Request)
+	}
+	return a, nil
+}
+
+func belongsTo(a messenger.ServeAnswer, w descriptor.WorkspaceID, id descriptor.RequestID) bool {
+	return a.Workspace == w && a.Request == id
+}
+
 // attempt sends a request to one endpoint. When the connection is lost it asks
 // the same agent again by the request's id.
 func (e *Entry) attempt(ctx context.Context, choice dispatcher.Choice, request descriptor.Request, class descriptor.Class, deadline time.Time) (messenger.ServeAnswer, *attemptError) {
 	began := e.now()
 	serve := messenger.Serve{Agent: choice.Agent, Request: request, NonIdempotent: class.NonIdempotent, Deadline: deadline.Sub(began)}
 	sent := keeper.ClaimRecord{Workspace: request.Workspace, ID: request.ID, Agent: choice.Agent, Address: choice.Address, ClaimedAt: began}
-	var a messenger.ServeAnswer
-	err := e.call(ctx, choice.Address, messenger.KindServe, serve, &a)
+	a, err := e.ask(ctx, choice.Address, messenger.KindServe, request.Workspace, request.ID, serve)
 	if err != nil && !errors.Is(err, messenger.ErrNotSent) && ctx.Err() == nil {
 		e.metrics.Count("request_outcome_queries_total", "class", string(class.Name))
-		a, err = e.askOutcome(ctx, sent, deadline.Sub(e.now()))
+		var queryErr error
+		if a, queryErr = e.askOutcome(ctx, sent, deadline.Sub(e.now())); queryErr == nil {
+			err = nil
+		} else {
+			// %v: a query that was not sent says nothing of the request, which may have run.
+			err = fmt.Errorf("%w; no outcome: %v", err, queryErr)
+		}
 	}
 	switch {
 	case errors.Is(err, messenger.ErrNotSent):
@@ -123,10 +156,6 @@
 	case err != nil:
 		e.router.Done(choice, descriptor.ResultUnknown, e.now().Sub(began))
 		return a, &attemptError{reason: err.Error()}
-	case a.Request != request.ID && a.Request != "":
-		// The agent answered for another request; the answer must not reach this caller.
-		e.router.Done(choice, descriptor.ResultFailed, e.now().Sub(began))
-		return messenger.ServeAnswer{}, &attemptError{reason: "the answer belongs to request " + string(a.Request)}
 	case a.Result == descriptor.ResultDone:
 		e.router.Done(choice, a.Result, e.now().Sub(began))
 		return a, nil
@@ -147,7 +176,7 @@
 	var err error
 	for range 2 {
 		query := messenger.OutcomeQuery{Agent: q.Agent, Workspace: q.Workspace, Request: q.ID, Wait: wait, Age: e.now().Sub(q.ClaimedAt)}
-		if err = e.call(ctx, q.Address, messenger.KindOutcome, query, &a); err == nil {
+		if a, err = e.ask(ctx, q.Address, messenger.KindOutcome, q.Workspace, q.ID, query); err == nil {
 			return a, nil
 		}
 		if ctx.Err() != nil {
@@ -158,15 +187,33 @@
 }
 
 // serveOnce serves a request that runs at most once: the claim names the one
-// agent that may run it and is durable before the request is sent.
+// agent that may run it and is durable before the request is sent. When that
+// agent certainly does not run it, the claim ends as NotRun, and another agent
+// gets a new claim within the deadline and the retry budget.
 func (e *Entry) serveOnce(ctx context.Context, request descriptor.Request, class descriptor.Class, deadline time.Time) messenger.ServeAnswer {
-	choice, err := e.router.Acquire(ctx, ticketOf(request, deadline, nil))
-	if err != nil {
-		if a, known := e.settledClaim(ctx, request.Workspace, request.ID); known {
+	var tried []string
+	var refused messenger.ServeAnswer
+	for {
+		choice, err := e.router.Acquire(ctx, ticketOf(request, deadline, tried))
+		switch {
+		case err != nil && len(tried) > 0:
+			return refused
+		case err != nil:
+			return e.withoutEndpoint(ctx, request, err)
+		}
+		a, elsewhere := e.serveClaimed(ctx, choice, request, class, deadline)
+		if !elsewhere || ctx.Err() != nil || !e.router.Retry(e.now()) {
 			return a
 		}
-		return noAnswer(false, err.Error())
+		e.metrics.Count("request_retries_total", "class", string(class.Name))
+		tried = append(tried, choice.Agent)
+		refused = a
 	}
+}
+
+// serveClaimed claims a request for one agent and tries it there. elsewhere
+// tells that it did not run there and that the claim has ended as NotRun.
+func (e *Entry) serveClaimed(ctx context.Context, choice dispatcher.Choice, request descriptor.Request, class descriptor.Class, deadline time.Time) (a messenger.ServeAnswer, elsewhere bool) {
 	claim := keeper.ClaimRecord{
 		Workspace: request.Workspace,
 		ID:        request.ID,
@@ -178,22 +225,23 @@
 	existing, mine, err := e.claim(ctx, claim)
 	if err != nil {
 		e.router.Done(choice, "", 0)
-		return noAnswer(false, "the request could not be recorded, so it was not started: "+err.Error())
+		return noAnswer(request.Repeated, "the request could not be recorded, so it was not started now: "+err.Error()), false
 	}
 	if !mine {
 		e.router.Done(choice, "", 0)
-		return e.resolveClaim(ctx, existing, deadline.Sub(e.now()))
+		return e.resolveClaim(ctx, existing, deadline.Sub(e.now())), false
 	}
 	a, failure := e.attempt(ctx, choice, request, class, deadline)
 	switch {
 	case failure == nil:
 	case failure.notRun:
 		a = messenger.ServeAnswer{Result: descriptor.ResultNotRun, Reason: failure.reason}
+		return a, e.endClaim(claim, a) == nil
 	case a.Result != descriptor.ResultFailed:
 		a = messenger.ServeAnswer{Result: descriptor.ResultUnknown, Reason: failure.reason}
 	}
 	e.finishClaim(claim, a)
-	return a
+	return a, false
 }
 
 func (e *Entry) claim(ctx context.Context, c keeper.ClaimRecord) (keeper.ClaimRecord, bool, error) {
@@ -202,15 +250,19 @@
 	return e.claims.Claim(ctx, c)
 }
 
-// settledClaim looks up an earlier claim when no endpoint is free for a new one.
-func (e *Entry) settledClaim(ctx context.Context, w descriptor.WorkspaceID, id descriptor.RequestID) (messenger.ServeAnswer, bool) {
+// withoutEndpoint answers a request for which no endpoint was found. An earlier claim of it tells what became of it.
+func (e *Entry) withoutEndpoint(ctx context.Context, request descriptor.Request, cause error) messenger.ServeAnswer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer cancel()
-	c, err := e.claims.Lookup(ctx, w, id)
-	if err != nil || c.Result == descriptor.ResultNotRun {
-		return messenger.ServeAnswer{}, false
+	c, err := e.claims.Lookup(ctx, request.Workspace, request.ID)
+	switch {
+	case err == nil && c.Result != descriptor.ResultNotRun:
+		return e.resolveClaim(ctx, c, 0)
+	case err == nil || errors.Is(err, keeper.ErrNotFound):
+		return noAnswer(false, cause.Error())
+	default:
+		return noAnswer(request.Repeated, cause.Error())
 	}
-	return e.resolveClaim(ctx, c, 0), true
 }
 
 // resolveClaim answers a repeated request from the agent that the claim names.
@@ -219,8 +271,12 @@
 	defer cancel()
 	a, err := e.askOutcome(ctx, c, max(wait, 0))
 	a.Request = c.ID
+	noOutcome := err != nil || a.Result == descriptor.ResultUnknown && !a.Running
 	switch {
-	case err != nil && c.Result != "":
+	case noOutcome && c.Result == descriptor.ResultDone:
+		// Done promises the whole answer, which only the agent had.
+		return messenger.ServeAnswer{Request: c.ID, Result: descriptor.ResultUnknown, Reason: "the request ran to its end; its answer is not kept any more"}
+	case noOutcome && c.Resolved():
 		return messenger.ServeAnswer{Request: c.ID, Result: c.Result, Reason: c.Reason}
 	case err != nil:
 		return messenger.ServeAnswer{Request: c.ID, Result: descriptor.ResultUnknown, Reason: "the request was claimed and its agent does not answer: " + err.Error()}
@@ -238,13 +294,18 @@
 	if a.Result == descriptor.ResultUnknown {
 		return
 	}
-	e.serving.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-		defer cancel()
-		if err := e.claims.Finish(ctx, c.Workspace, c.ID, c.Owner, a.Result, a.Reason); err != nil {
-			e.metrics.Count("store_errors_total", "call", "claim outcome")
-		}
-	})
+	e.serving.Go(func() { _ = e.endClaim(c, a) })
+}
+
+// endClaim records the outcome of a claim, after which a claim that ended as NotRun gives way.
+func (e *Entry) endClaim(c keeper.ClaimRecord, a messenger.ServeAnswer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	err := e.claims.Finish(ctx, c.Workspace, c.ID, c.Owner, a.Result, a.Reason)
+	if err != nil {
+		e.metrics.Count("store_errors_total", "call", "claim outcome")
+	}
+	return err
 }
 
 // lookUpRequest answers a caller who asks later with the id of a request.
@@ -259,35 +320,38 @@
 }
 
 // forward passes a request to another region when no endpoint here can serve
-// it in time and one there can.
-func (e *Entry) forward(ctx context.Context, request descriptor.Request, ticket dispatcher.Ticket, deadline time.Time, forwarded bool) (messenger.ServeAnswer, bool) {
-	if forwarded {
-		return messenger.ServeAnswer{}, false
-	}
+// it in time and one there can. sent is false when no region is worth it.
+func (e *Entry) forward(ctx context.Context, request descriptor.Request, ticket dispatcher.Ticket, deadline time.Time) (a messenger.ServeAnswer, sent bool, failure *attemptError) {
 	now := e.now()
 	for _, region := range e.otherRegions() {
 		live := e.peers.live(region, now)
 		if len(live) == 0 || !e.router.WorthForwarding(ticket, region, now) {
 			continue
 		}
-		var a messenger.ServeAnswer
-		err := e.call(ctx, live[0].Address, messenger.KindForward, messenger.Forward{Request: request, Deadline: deadline.Sub(now)}, &a)
-		if err == nil && a.Result == descriptor.ResultDone {
-			e.metrics.Count("requests_forwarded_total", "region", string(region))
-			return a, true
+		f := messenger.Forward{Request: request, Deadline: deadline.Sub(now)}
+		a, err := e.ask(ctx, live[0].Address, messenger.KindForward, request.Workspace, request.ID, f)
+		switch {
+		case err != nil:
+			return a, true, &attemptError{reason: err.Error(), notRun: errors.Is(err, messenger.ErrNotSent)}
+		case a.Result != descriptor.ResultDone:
+			return a, true, &attemptError{reason: a.Reason, notRun: a.Result == descriptor.ResultNotRun}
 		}
+		e.metrics.Count("requests_forwarded_total", "region", string(region))
+		return a, true, nil
 	}
-	return messenger.ServeAnswer{}, false
+	return messenger.ServeAnswer{}, false, nil
 }
 
 func (e *Entry) handleForward(ctx context.Context, f messenger.Forward) messenger.ServeAnswer {
 	cfg := e.basis.configuration()
-	if cfg == nil {
-		return noAnswer(false, "this entry has no configuration yet")
+	var class *descriptor.Class
+	if cfg != nil {
+		class = validator.FindClass(cfg, f.Request.Class)
 	}
-	class := validator.FindClass(cfg, f.Request.Class)
 	if class == nil {
-		return noAnswer(false, "no class "+string(f.Request.Class))
+		a := noAnswer(false, "this entry knows no class "+string(f.Request.Class))
+		a.Workspace, a.Request = f.Request.Workspace, f.Request.ID
+		return a
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline)
 	defer cancel()
