Commands replay and trace generate

replay prints the comparison of both policies, checks the outcomes that the trace states, names each missed one and exits with 1. A plot holds utilisation, fragmentation and completion in one file.

keys creates its directory, as its help says; it failed on a missing one.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -111,6 +111,8 @@
 			p.statusCommand(),
 			p.auditCommand(),
 			p.demoCommand(),
+			p.replayCommand(),
+			p.traceCommand(),
 			p.keysCommand(),
 			p.versionCommand(),
 		},
--- a/internal/commander/keys.go
+++ b/internal/commander/keys.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -33,6 +34,9 @@
 				}
 				addresses = append(addresses, ip)
 			}
+			if err := os.MkdirAll(*dir, 0o700); err != nil {
+				return validator.Errors{{Field: "dir", Reason: err.Error()}}
+			}
 			authority, err := issuer.NewAuthority()
 			if err != nil {
 				return err
--- /dev/null
+++ b/internal/commander/replay.go
@@ -0,0 +1,273 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmontrail/internal/replayer"
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/validator"
+)
+
+// progressInterval is the time between progress lines of long work.
+const progressInterval = 2 * time.Second
+
+// errMissed is the error of a replay that misses stated outcomes.
+var errMissed = errors.New("missed")
+
+// replayFlags are the settings of replay.
+type replayFlags struct {
+	trace, policy, report, plot string
+	speed                       float64
+	drain                       time.Duration
+	client                      clientFlags
+}
+
+func (r *replayFlags) register(f *flag.FlagSet) {
+	f.StringVar(&r.trace, "trace", "", "file with the trace")
+	f.StringVar(&r.policy, "policy", "both", "policy: guaranteed, baseline or both; only both checks the outcomes")
+	f.StringVar(&r.report, "report", "", "file for the report in JSON")
+	f.StringVar(&r.plot, "plot", "", "file for the plots, ending in .png or .svg; needs policy both")
+	f.Float64Var(&r.speed, "speed", 60, "with entry: how many times faster than the trace the jobs are submitted and run")
+	f.DurationVar(&r.drain, "drain", 2*time.Minute, "with entry: how long to wait for ends after the last submission")
+	r.client.register(f)
+	f.Lookup("entry").DefValue = ""
+	r.client.entry = ""
+}
+
+func (r *replayFlags) validate() error {
+	var faults validator.Errors
+	fail := func(field, format string, args ...any) {
+		faults = append(faults, validator.FieldError{Field: field, Reason: fmt.Sprintf(format, args...)})
+	}
+	if r.trace == "" {
+		fail("trace", "must name a file; trace generate makes one")
+	}
+	if r.policy != "guaranteed" && r.policy != "baseline" && r.policy != "both" {
+		fail("policy", "is %q, want guaranteed, baseline or both", r.policy)
+	}
+	if x := filepath.Ext(r.plot); r.plot != "" && x != ".png" && x != ".svg" {
+		fail("plot", "is %q, want a name that ends in .png or .svg", r.plot)
+	}
+	if r.plot != "" && (r.policy != "both" || r.client.entry != "") {
+		fail("plot", "needs policy both and no entry")
+	}
+	if r.speed <= 0 {
+		fail("speed", "is %g, want more than 0", r.speed)
+	}
+	if r.drain <= 0 {
+		fail("drain", "is %v, want more than 0s", r.drain)
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	return faults
+}
+
+func (p *Program) replayCommand() *ffcli.Command {
+	f := newFlags("replay")
+	var r replayFlags
+	r.register(f)
+	return &ffcli.Command{
+		Name:       "replay",
+		ShortUsage: "persimmontrail replay [flags]",
+		ShortHelp:  "Replay a trace and check the outcomes that it states.",
+		LongHelp: `Without --entry, the trace is replayed on a virtual clock against the scheduler's decisions, with its
+fleet and its faults. Every missed outcome is named and the exit code is 1.
+
+With --entry, or PERSIMMONTRAIL_ENTRY, the jobs and cancellations of the trace are submitted to a running deployment, faster by
+--speed, with ids of their own; run times are divided by --speed too. Only what can be seen from outside is
+checked: each job is accepted, or refused as not run; each accepted job ends within --drain after the last
+submission; a job ends as Done unless it was cancelled or fails wherever it starts; and, at speed 1 only,
+the p99 completion time of the class that the trace names. Faults, configuration changes and the fleet of
+the trace are not applied, and guarantees, utilisation and partial gangs are not visible from outside.
+
+Example:
+  persimmontrail replay --trace day.jsonl --report day.json --plot day.svg
+  persimmontrail replay --trace day.jsonl --entry http://10.0.0.7:7401 --speed 120`,
+		FlagSet: f,
+		Exec: func(ctx context.Context, _ []string) error {
+			client, clientErr := p.client(r.client)
+			if err := joinFaults(r.validate(), clientErr); err != nil {
+				return err
+			}
+			trace, err := readTrace(r.trace)
+			if err != nil {
+				return err
+			}
+			if r.client.entry != "" {
+				return p.replayAgainst(ctx, client, trace, r)
+			}
+			return p.replayOffline(ctx, client, trace, r)
+		},
+	}
+}
+
+func readTrace(file string) (replayer.Trace, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return replayer.Trace{}, validator.Errors{{Field: "trace", Reason: err.Error()}}
+	}
+	defer f.Close()
+	t, err := replayer.Read(f)
+	if err != nil {
+		return t, validator.Errors{{Field: "trace", Reason: file + ": " + err.Error()}}
+	}
+	return t, nil
+}
+
+// replaySummary is the report of a replay without the thousands of samples.
+type replaySummary struct {
+	Trace                string
+	Guaranteed, Baseline *replayer.Report `json:",omitempty"`
+	Outcomes             []replayer.OutcomeResult
+}
+
+func (p *Program) replayOffline(ctx context.Context, client *entryClient, t replayer.Trace, r replayFlags) error {
+	c := replayer.Comparison{Trace: t}
+	var err error
+	if r.policy != "baseline" {
+		if c.Guaranteed, err = p.replayPolicy(ctx, t, scheduler.PolicyGuaranteed, "guaranteed"); err != nil {
+			return err
+		}
+	}
+	if r.policy != "guaranteed" {
+		if c.Baseline, err = p.replayPolicy(ctx, t, scheduler.PolicyBaseline, "baseline"); err != nil {
+			return err
+		}
+	}
+	summary := replaySummary{Trace: t.Header.Name, Guaranteed: c.Guaranteed, Baseline: c.Baseline, Outcomes: c.Outcomes()}
+	if err := client.print(summary, func(w io.Writer) { fmt.Fprint(w, c.Table()) }); err != nil {
+		return err
+	}
+	if r.report != "" {
+		if err := writeReport(r.report, summary); err != nil {
+			return err
+		}
+	}
+	if r.plot != "" {
+		if err := c.PlotFile(r.plot); err != nil {
+			return err
+		}
+	}
+	return missedOutcomes(summary.Outcomes)
+}
+
+// replayPolicy replays in the background and prints progress, because a replay of a large fleet takes minutes.
+func (p *Program) replayPolicy(ctx context.Context, t replayer.Trace, policy scheduler.Policy, name string) (*replayer.Report, error) {
+	type outcome struct {
+		report *replayer.Report
+		err    error
+	}
+	done := make(chan outcome, 1)
+	began := time.Now()
+	fmt.Fprintf(p.Stderr, "replaying %d events with the %s policy\n", len(t.Events), name)
+	go func() {
+		report, err := replayer.Replay(t, policy)
+		done <- outcome{report, err}
+	}()
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case o := <-done:
+			return o.report, o.err
+		case <-ticker.C:
+			fmt.Fprintf(p.Stderr, "still replaying with the %s policy after %v\n", name, time.Since(began).Round(time.Second))
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func missedOutcomes(results []replayer.OutcomeResult) error {
+	var missed []string
+	for _, o := range results {
+		if !o.Met && !o.Unchecked {
+			missed = append(missed, fmt.Sprintf("outcome %s: %s", o.Outcome.Name, o.Detail))
+		}
+	}
+	if len(missed) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w %d of %d outcomes\n%s", errMissed, len(missed), len(results), strings.Join(missed, "\n"))
+}
+
+func (p *Program) traceCommand() *ffcli.Command {
+	c := &ffcli.Command{
+		Name:        "trace",
+		ShortUsage:  "persimmontrail trace generate [flags]",
+		ShortHelp:   "Make traces for replay.",
+		LongHelp:    "Example:\n  persimmontrail trace generate --day bad --seed 7 --out day.jsonl",
+		FlagSet:     newFlags("trace"),
+		Subcommands: []*ffcli.Command{p.generateCommand()},
+	}
+	c.Exec = p.needsSubcommand(c)
+	return c
+}
+
+// deployments maps what operators type to the names of the profiles.
+var deployments = map[string]string{
+	"beaulieu": replayer.Beaulieu,
+	"destovka": replayer.Destovka,
+	"dešťovka": replayer.Destovka,
+}
+
+func (p *Program) generateCommand() *ffcli.Command {
+	f := newFlags("generate")
+	deployment := f.String("deployment", "beaulieu", "deployment: beaulieu or destovka")
+	day := f.String("day", "ordinary", "day: ordinary, or bad with bursts, wrong declarations and faults")
+	seed := f.Uint64("seed", 1, "seed; equal seeds give equal traces")
+	out := f.String("out", "", "file for the trace; empty for standard output")
+	return &ffcli.Command{
+		Name:       "generate",
+		ShortUsage: "persimmontrail trace generate [flags]",
+		ShortHelp:  "Generate a day of one deployment.",
+		LongHelp: `The trace is a text file of JSON Lines; docs/traces.md describes it. Example:
+  persimmontrail trace generate --deployment destovka --day bad --seed 4 --out day.jsonl`,
+		FlagSet: f,
+		Exec: func(context.Context, []string) error {
+			var faults validator.Errors
+			if *day != "ordinary" && *day != "bad" {
+				faults = append(faults, validator.FieldError{Field: "day", Reason: fmt.Sprintf("is %q, want ordinary or bad", *day)})
+			}
+			name, ok := deployments[strings.ToLower(*deployment)]
+			if !ok {
+				faults = append(faults, validator.FieldError{Field: "deployment", Reason: fmt.Sprintf("is %q, want beaulieu or destovka", *deployment)})
+			}
+			if len(faults) > 0 {
+				return faults
+			}
+			t := replayer.Generate(replayer.GenerateOptions{Deployment: name, Bad: *day == "bad", Seed: *seed})
+			return p.writeTrace(*out, t)
+		},
+	}
+}
+
+func (p *Program) writeTrace(file string, t replayer.Trace) error {
+	if file == "" {
+		return replayer.Write(p.Stdout, t)
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return validator.Errors{{Field: "out", Reason: err.Error()}}
+	}
+	if err := replayer.Write(f, t); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(p.Stderr, "wrote %d events to %s\n", len(t.Events), file)
+	return err
+}
--- /dev/null
+++ b/internal/commander/replay_test.go
@@ -0,0 +1,67 @@
+package commander
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// runProgram runs one command in process.
+func runProgram(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	p := &Program{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &errs, Getenv: func(string) string { return "" }}
+	code = p.Run(t.Context(), args)
+	return code, out.String(), errs.String()
+}
+
+// Guards against a replay that succeeds although outcomes are missed, and against an error that names none of them.
+func TestReplayNamesMissedOutcomes(t *testing.T) {
+	trace := "../replayer/testdata/fault-occupied-shape.jsonl"
+	data, err := os.ReadFile(trace)
+	assert.NilError(t, err)
+	header, events, _ := strings.Cut(string(data), "\n")
+	// No policy can finish a job in less time than it runs.
+	header = strings.Replace(header, `"FinishWithin":"2m0s"`, `"FinishWithin":"1ms"`, 1)
+	header = strings.Replace(header, `"Outcomes":[`, `"Outcomes":[{"Name":"UrgentWithinTargetAtP99","Class":"Preview"},`, 1)
+	impossible := filepath.Join(t.TempDir(), "impossible.jsonl")
+	assert.NilError(t, os.WriteFile(impossible, []byte(header+"\n"+events), 0o600))
+	plot := filepath.Join(t.TempDir(), "day.svg")
+	report := filepath.Join(t.TempDir(), "day.json")
+	code, stdout, stderr := runProgram(t, "replay", "--trace", impossible, "--plot", plot, "--report", report)
+	assert.Equal(t, code, ExitFailed)
+	assert.Assert(t, strings.Contains(stdout, "UrgentWithinTargetAtP99"), stdout)
+	assert.Assert(t, strings.Contains(stderr, "outcome UrgentWithinTargetAtP99"), stderr)
+	for _, file := range []string{plot, report} {
+		info, err := os.Stat(file)
+		assert.NilError(t, err)
+		assert.Assert(t, info.Size() > 1000, file)
+	}
+}
+
+// Guards against settings errors that are shown one at a time.
+func TestReplayShowsAllSettingsErrors(t *testing.T) {
+	code, _, stderr := runProgram(t, "replay", "--policy", "best", "--plot", "x.pdf", "--speed", "0", "--output", "yaml")
+	assert.Equal(t, code, ExitUsage)
+	for _, field := range []string{"trace:", "policy:", "plot:", "speed:", "output:"} {
+		assert.Assert(t, strings.Contains(stderr, field), "%s is missing in:\n%s", field, stderr)
+	}
+}
+
+// Guards against a generator whose traces differ from run to run or that replay refuses.
+func TestGeneratedTraceReplays(t *testing.T) {
+	first := filepath.Join(t.TempDir(), "day.jsonl")
+	code, _, stderr := runProgram(t, "trace", "generate", "--deployment", "destovka", "--day", "bad", "--seed", "4", "--out", first)
+	assert.Equal(t, code, ExitOK, stderr)
+	data, err := os.ReadFile(first)
+	assert.NilError(t, err)
+	_, stdout, _ := runProgram(t, "trace", "generate", "--deployment", "destovka", "--day", "bad", "--seed", "4")
+	assert.Equal(t, stdout, string(data))
+	code, stdout, stderr = runProgram(t, "replay", "--trace", first, "--policy", "guaranteed")
+	assert.Equal(t, code, ExitOK, stderr)
+	assert.Assert(t, strings.Contains(stdout, "unchecked"), stdout)
+}
--- a/internal/replayer/compare.go
+++ b/internal/replayer/compare.go
@@ -9,7 +9,7 @@
 	"persimmontrail/internal/scheduler"
 )
 
-// Comparison holds the reports of both policies on one trace.
+// Comparison holds the reports of both policies on one trace. One report may be nil when only one policy was replayed.
 type Comparison struct {
 	Trace                Trace
 	Guaranteed, Baseline *Report
@@ -19,6 +19,8 @@
 type OutcomeResult struct {
 	Outcome Outcome
 	Met     bool
+	// Unchecked is set when a report that the check needs is missing.
+	Unchecked bool `json:",omitempty"`
 	// Detail gives the figures.
 	Detail string
 }
@@ -40,12 +42,41 @@
 func (c *Comparison) Outcomes() []OutcomeResult {
 	var results []OutcomeResult
 	for _, o := range c.Trace.Header.Outcomes {
+		if missing := c.missing(); missing != "" {
+			results = append(results, OutcomeResult{Outcome: o, Unchecked: true, Detail: "needs the " + missing + " policy"})
+			continue
+		}
 		met, detail := c.check(o)
 		results = append(results, OutcomeResult{Outcome: o, Met: met, Detail: detail})
 	}
 	return results
 }
 
+// missing names the policy that was not replayed. Every outcome is stated for
+// the guaranteed policy, and its figures stand beside the baseline's.
+func (c *Comparison) missing() string {
+	switch {
+	case c.Guaranteed == nil:
+		return "guaranteed"
+	case c.Baseline == nil:
+		return "baseline"
+	}
+	return ""
+}
+
+// columns are the reports that the table shows, with their headings.
+func (c *Comparison) columns() (reports []*Report, headings []string) {
+	if c.Guaranteed != nil {
+		reports = append(reports, c.Guaranteed)
+		headings = append(headings, "guaranteed")
+	}
+	if c.Baseline != nil {
+		reports = append(reports, c.Baseline)
+		headings = append(headings, "baseline")
+	}
+	return reports, headings
+}
+
 func (c *Comparison) check(o Outcome) (bool, string) {
 	g, b := c.Guaranteed, c.Baseline
 	switch o.Name {
@@ -95,20 +126,28 @@
 	return g.Completion.P99 <= g.Target, detail
 }
 
-// Table prints both reports side by side and the outcomes below.
+// Table prints the reports side by side and the outcomes below.
 func (c *Comparison) Table() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "Trace %s, seed %d\n\n", c.Trace.Header.Name, c.Trace.Header.Seed)
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "measure\tguaranteed\tbaseline")
-	for _, r := range c.rows() {
-		fmt.Fprintf(w, "%s\t%s\t%s\n", r.name, r.cell(c.Guaranteed), r.cell(c.Baseline))
+	reports, headings := c.columns()
+	fmt.Fprintf(w, "measure\t%s\n", strings.Join(headings, "\t"))
+	for _, r := range c.rows(reports[0]) {
+		cells := []string{r.name}
+		for _, p := range reports {
+			cells = append(cells, r.cell(p))
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
 	}
 	fmt.Fprintln(w, "\t\t")
 	fmt.Fprintln(w, "outcome\tmet\tfigures")
 	for _, o := range c.Outcomes() {
 		met := "no"
-		if o.Met {
+		switch {
+		case o.Unchecked:
+			met = "unchecked"
+		case o.Met:
 			met = "yes"
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\n", o.Outcome.Name, met, o.Detail)
@@ -123,9 +162,10 @@
 	cell func(*Report) string
 }
 
-func (c *Comparison) rows() []row {
+// rows lists the measures. Classes and windows are the same in all reports of a trace.
+func (c *Comparison) rows(first *Report) []row {
 	var rows []row
-	for i, k := range c.Guaranteed.Classes {
+	for i, k := range first.Classes {
 		rows = append(rows,
 			row{fmt.Sprintf("%s completion p50, p95, p99", k.Class), func(r *Report) string { return r.Classes[i].Completion.String() }},
 			row{fmt.Sprintf("%s within %v", k.Class, short(k.Target)), func(r *Report) string {
@@ -149,7 +189,7 @@
 		row{"repeated non-idempotent runs", func(r *Report) string { return fmt.Sprint(r.RepeatedRuns) }},
 		row{"invalid decisions", func(r *Report) string { return fmt.Sprint(r.InvalidDecisions) }},
 	)
-	for i, v := range c.Guaranteed.Windows {
+	for i, v := range first.Windows {
 		rows = append(rows, row{fmt.Sprintf("work while %s was out and back", v.FailureDomain), func(r *Report) string { return r.Windows[i].String() }})
 	}
 	return rows
--- a/internal/replayer/plot.go
+++ b/internal/replayer/plot.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"image/color"
+	"io"
 	"math"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 
 	"persimmontrail/pkg/descriptor"
 )
@@ -54,11 +57,44 @@
 	return paths, nil
 }
 
+// PlotFile writes all plots of c, one below the other, into one file. The
+// extension of the path, .png or .svg, chooses the format.
+func (c *Comparison) PlotFile(path string) error {
+	format := strings.TrimPrefix(filepath.Ext(path), ".")
+	canvas, err := draw.NewFormattedCanvas(plotWidth, 3*plotHeight, format)
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", path, err)
+	}
+	var rows [][]*plot.Plot
+	for _, draft := range []func() (*plot.Plot, error){
+		func() (*plot.Plot, error) { return c.overTime("Utilisation", "accelerators in use (%)", utilisationOf) },
+		func() (*plot.Plot, error) {
+			return c.overTime("Fragmentation", "free accelerators of no use to the largest shape (%)", fragmentationOf)
+		},
+		func() (*plot.Plot, error) { return c.completion(c.urgentClass()) },
+	} {
+		p, err := draft()
+		if err != nil {
+			return fmt.Errorf("plot %s: %w", path, err)
+		}
+		rows = append(rows, []*plot.Plot{p})
+	}
+	tiles := draw.Tiles{Rows: len(rows), Cols: 1}
+	for i, canvases := range plot.Align(rows, tiles, draw.New(canvas)) {
+		rows[i][0].Draw(canvases[0])
+	}
+	return write(canvas, path)
+}
+
 func save(p *plot.Plot, path, format string) error {
 	w, err := p.WriterTo(plotWidth, plotHeight, format)
 	if err != nil {
 		return fmt.Errorf("plot %s: %w", path, err)
 	}
+	return write(w, path)
+}
+
+func write(w io.WriterTo, path string) error {
 	f, err := os.Create(path)
 	if err != nil {
 		return fmt.Errorf("plot: %w", err)
