Command line: help with examples, all settings errors at once, keys token

Every command prints its help with an example to standard output. Errors of flags and environment variables are one line with a pointer to the help instead of the whole help. Commands without arguments refuse them, since a forgotten flag name went unnoticed. Every command prints a table or JSON. keys token makes a token and prints the TokenHash of the configuration; it never replaces a file.

agent now reports wrong listen addresses together with the other settings; before, they failed one by one at the start.

--- a/internal/commander/caller.go
+++ b/internal/commander/caller.go
@@ -26,6 +26,7 @@
 		Name:       "job",
 		ShortUsage: "persimmontrail job submit|get|list|cancel|explain [flags]",
 		ShortHelp:  "Submit, watch, cancel and explain jobs.",
+		LongHelp:   "Example:\n  persimmontrail job submit --workspace atelier --class Draft --accelerators 8 --run-time 2h",
 		FlagSet:    newFlags("job"),
 		Subcommands: []*ffcli.Command{
 			p.submitCommand(),
@@ -35,7 +36,7 @@
 			p.explainCommand(),
 		},
 	}
-	c.Exec = p.needsSubcommand(c)
+	c.Exec = needsSubcommand(c)
 	return c
 }
 
@@ -103,12 +104,9 @@
   persimmontrail job submit --workspace atelier --class Draft --tasks 3 --accelerators 8 --adjacency Rack --run-time 2h`,
 		FlagSet: f,
 		Exec: func(ctx context.Context, _ []string) error {
-			job, err := j.job()
-			if err != nil {
-				return err
-			}
-			client, err := p.client(c)
-			if err != nil {
+			job, jobErr := j.job()
+			client, clientErr := p.client(c)
+			if err := joinFaults(jobErr, clientErr); err != nil {
 				return err
 			}
 			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
@@ -137,7 +135,7 @@
 
 func jobArguments(args []string) (workspace, id string, err error) {
 	if len(args) != 2 {
-		return "", "", fmt.Errorf("%w: want two arguments, the workspace and the job", errUsage)
+		return "", "", fmt.Errorf("%w: want two arguments, the workspace and the job, and not %q; flags stand before arguments", errUsage, args)
 	}
 	return args[0], args[1], nil
 }
@@ -150,6 +148,7 @@
 		Name:       name,
 		ShortUsage: "persimmontrail job " + name + " [flags] WORKSPACE JOB",
 		ShortHelp:  help,
+		LongHelp:   "Example:\n  persimmontrail job " + name + " atelier draft-17",
 		FlagSet:    f,
 		Exec: func(ctx context.Context, args []string) error {
 			workspace, id, err := jobArguments(args)
@@ -179,6 +178,7 @@
 		Name:       "list",
 		ShortUsage: "persimmontrail job list [flags]",
 		ShortHelp:  "List the jobs of the entry's region.",
+		LongHelp:   "Example:\n  persimmontrail job list --output json",
 		FlagSet:    f,
 		Exec: func(ctx context.Context, _ []string) error {
 			client, err := p.client(c)
@@ -204,6 +204,7 @@
 		Name:       "explain",
 		ShortUsage: "persimmontrail job explain [flags] WORKSPACE JOB",
 		ShortHelp:  "Say why a job is in its state and what would change it.",
+		LongHelp:   "Example:\n  persimmontrail job explain atelier draft-17",
 		FlagSet:    f,
 		Exec: func(ctx context.Context, args []string) error {
 			workspace, id, err := jobArguments(args)
@@ -272,11 +273,9 @@
   persimmontrail request --workspace atelier --class Preview --body @measures.json`,
 		FlagSet: f,
 		Exec: func(ctx context.Context, _ []string) error {
-			client, err := p.client(c)
-			if err != nil {
-				return err
-			}
-			data, err := readBody(*body)
+			client, clientErr := p.client(c)
+			data, bodyErr := readBody(*body)
+			err := joinFaults(clientErr, bodyErr, checkAsk(*ask, *id))
 			if err != nil {
 				return err
 			}
@@ -300,6 +299,13 @@
 	}
 }
 
+func checkAsk(ask bool, id string) error {
+	if ask && id == "" {
+		return validator.Errors{{Field: "id", Reason: "must be set with ask"}}
+	}
+	return nil
+}
+
 func readBody(text string) ([]byte, error) {
 	if len(text) > 1 && text[0] == '@' {
 		data, err := os.ReadFile(text[1:])
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -24,14 +25,15 @@
 
 // clientFlags say which entry to call and how to print the answer.
 type clientFlags struct {
-	entry, tokenFile, authority, output, operator string
+	entry, tokenFile, authority, operator string
+	output                                outputFlag
 }
 
 func (c *clientFlags) register(f *flag.FlagSet) {
 	f.StringVar(&c.entry, "entry", "http://127.0.0.1:7401", "URL of an entry")
 	f.StringVar(&c.tokenFile, "token-file", "", "file with the token of a workspace or of the operator")
 	f.StringVar(&c.authority, "http-authority", "", "file with the authority that signed the entry's certificate, for https")
-	f.StringVar(&c.output, "output", "table", "output: table or json")
+	c.output.register(f)
 	f.StringVar(&c.operator, "operator", "", "name that the audit trail records for changes")
 }
 
@@ -39,27 +41,44 @@
 type entryClient struct {
 	base, token, operator string
 	http                  *http.Client
-	json                  bool
-	out                   io.Writer
+	printer
+}
+
+// printer writes answers as tables or as JSON.
+type printer struct {
+	json bool
+	out  io.Writer
 }
 
 func (p *Program) client(c clientFlags) (*entryClient, error) {
-	if c.output != "table" && c.output != "json" {
-		return nil, validator.Errors{{Field: "output", Reason: fmt.Sprintf("is %q, want table or json", c.output)}}
+	token, tokenErr := readToken("token-file", c.tokenFile)
+	transport, transportErr := clientTransport(c.authority)
+	if err := joinFaults(checkEntryURL(c.entry), tokenErr, transportErr, c.output.validate()); err != nil {
+		return nil, err
+	}
+	client := &entryClient{base: strings.TrimSuffix(c.entry, "/"), token: token, operator: c.operator, http: &http.Client{Transport: transport}}
+	client.printer = printer{json: c.output == "json", out: p.Stdout}
+	return client, nil
+}
+
+// checkEntryURL accepts an empty URL, which replay uses for a replay without an entry.
+func checkEntryURL(text string) error {
+	u, err := url.Parse(text)
+	if text == "" || err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" {
+		return nil
 	}
-	token, err := readToken(c.tokenFile)
+	return validator.Errors{{Field: "entry", Reason: fmt.Sprintf("is %q, want a URL such as http://127.0.0.1:7401", text)}}
+}
+
+func clientTransport(authority string) (http.RoundTripper, error) {
+	if authority == "" {
+		return http.DefaultTransport, nil
+	}
+	pool, err := readAuthority(authority)
 	if err != nil {
 		return nil, err
 	}
-	client := &entryClient{base: strings.TrimSuffix(c.entry, "/"), token: token, operator: c.operator, http: &http.Client{}, json: c.output == "json", out: p.Stdout}
-	if c.authority != "" {
-		pool, err := readAuthority(c.authority)
-		if err != nil {
-			return nil, err
-		}
-		client.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
-	}
-	return client, nil
+	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}, nil
 }
 
 func readAuthority(file string) (*x509.CertPool, error) {
@@ -69,7 +88,7 @@
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
-		return nil, validator.Errors{{Field: "http-authority", Reason: "holds no certificate"}}
+		return nil, validator.Errors{{Field: "http-authority", Reason: file + " holds no certificate"}}
 	}
 	return pool, nil
 }
@@ -136,11 +155,14 @@
 	if response.StatusCode >= 300 && json.Unmarshal(data, &problem) == nil && problem.Error != "" {
 		return data, response.StatusCode, &answerError{status: response.StatusCode, problem: problem}
 	}
+	if response.StatusCode >= 300 && !json.Valid(data) {
+		return data, response.StatusCode, fmt.Errorf("%s %s: %s", method, c.base+path, response.Status)
+	}
 	return data, response.StatusCode, nil
 }
 
 // print writes v as JSON, or as a table by the given function.
-func (c *entryClient) print(v any, table func(w io.Writer)) error {
+func (c *printer) print(v any, table func(w io.Writer)) error {
 	if c.json {
 		e := json.NewEncoder(c.out)
 		e.SetIndent("", "  ")
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -2,6 +2,7 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -16,7 +17,6 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/muesli/termenv"
-	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"persimmontrail/pkg/validator"
@@ -43,6 +43,10 @@
 	Stdout, Stderr io.Writer
 	// Getenv replaces os.Getenv, for tests.
 	Getenv func(string) string
+
+	// help holds the help of the command that was parsed last, and failing its command line.
+	help    bytes.Buffer
+	failing string
 }
 
 // Main runs the command line of the process and returns its exit code.
@@ -72,9 +76,10 @@
 	root := p.root()
 	if err := root.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
+			_, _ = p.help.WriteTo(p.Stdout)
 			return ExitOK
 		}
-		fmt.Fprintln(p.Stderr, "error:", err)
+		fmt.Fprintln(p.Stderr, "error:", indent(p.describeParseError(err)))
 		return ExitUsage
 	}
 	err := root.Run(ctx)
@@ -97,6 +102,8 @@
 		ShortUsage: "persimmontrail COMMAND [flags]",
 		ShortHelp:  "Schedule multi-accelerator jobs and service requests under workspace guarantees.",
 		LongHelp: `Every flag can be set by an environment variable: --http-listen is PERSIMMONTRAIL_HTTP_LISTEN.
+Flags stand before arguments. Example:
+  persimmontrail domain out --entry http://10.0.0.7:7401 Sherbrooke
 
 Exit codes: 0 done, 1 the command failed, 2 the command line, a setting or a file is invalid and nothing was changed.`,
 		FlagSet: flag.NewFlagSet("persimmontrail", flag.ContinueOnError),
@@ -117,31 +124,11 @@
 			p.versionCommand(),
 		},
 	}
-	root.Exec = p.needsSubcommand(root)
-	p.prepare(root)
+	root.Exec = needsSubcommand(root)
+	p.prepare(root, "persimmontrail")
 	return root
 }
 
-// prepare sets what all commands have in common.
-func (p *Program) prepare(c *ffcli.Command) {
-	c.FlagSet.SetOutput(p.Stderr)
-	c.Options = append(c.Options, ff.WithEnvVarPrefix(envPrefix))
-	for _, s := range c.Subcommands {
-		p.prepare(s)
-	}
-}
-
-// needsSubcommand prints the help of a command that only groups others.
-func (p *Program) needsSubcommand(c *ffcli.Command) func(context.Context, []string) error {
-	return func(_ context.Context, args []string) error {
-		fmt.Fprintln(p.Stderr, ffcli.DefaultUsageFunc(c))
-		if len(args) > 0 {
-			return fmt.Errorf("%w: no command %q", errUsage, args[0])
-		}
-		return fmt.Errorf("%w: a command is missing", errUsage)
-	}
-}
-
 func newFlags(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
 
 // isSet reports whether a flag was given on the command line or by its environment variable.
@@ -193,18 +180,25 @@
 const Version = "0.1.0"
 
 func (p *Program) versionCommand() *ffcli.Command {
+	f := newFlags("version")
+	var output outputFlag
+	output.register(f)
 	return &ffcli.Command{
 		Name:       "version",
-		ShortUsage: "persimmontrail version",
+		ShortUsage: "persimmontrail version [flags]",
 		ShortHelp:  "Print the version.",
-		FlagSet:    newFlags("version"),
+		LongHelp:   "Example:\n  persimmontrail version --output json",
+		FlagSet:    f,
 		Exec: func(context.Context, []string) error {
-			goVersion := "unknown"
+			printer, err := p.printer(output)
+			if err != nil {
+				return err
+			}
+			v := struct{ Version, Go string }{Version, "unknown"}
 			if info, ok := debug.ReadBuildInfo(); ok {
-				goVersion = info.GoVersion
+				v.Go = info.GoVersion
 			}
-			_, err := fmt.Fprintf(p.Stdout, "persimmontrail %s (%s)\n", Version, goVersion)
-			return err
+			return printer.print(v, func(w io.Writer) { fmt.Fprintf(w, "persimmontrail %s (%s)\n", v.Version, v.Go) })
 		},
 	}
 }
--- a/internal/commander/demo.go
+++ b/internal/commander/demo.go
@@ -15,24 +15,31 @@
 	f := newFlags("demo")
 	report := f.String("report", "", "file for the report in JSON")
 	var logs logFlags
+	var output outputFlag
 	logs.register(f)
+	output.register(f)
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "persimmontrail demo [flags]",
 		ShortHelp:  "Run a whole deployment in one process on loopback and print what it did.",
 		LongHelp: `Starts stand-ins for the platform, two entries and six agents in two regions and three failure domains,
 serves requests and runs gang jobs, takes a failure domain out and back. It ends within 60 s, with exit
-code 1 if anything was lost, doubled, started in part or started where nothing may start.`,
+code 1 if anything was lost, doubled, started in part or started where nothing may start. Example:
+  persimmontrail demo --report demo.json`,
 		FlagSet: f,
 		Exec: func(ctx context.Context, _ []string) error {
 			if !isSet(f, "log-level") {
 				logs.level = "error"
 			}
-			logger, err := p.logger(logs, "demo")
-			if err != nil {
+			logger, logErr := p.logger(logs, "demo")
+			printer, outputErr := p.printer(output)
+			if err := joinFaults(logErr, outputErr); err != nil {
 				return err
 			}
 			d := demonstrator.Demo{Out: p.Stdout, Log: logger}
+			if printer.json {
+				d.Out = p.Stderr
+			}
 			result, err := d.Run(ctx)
 			if err != nil {
 				return err
@@ -42,6 +49,11 @@
 					return err
 				}
 			}
+			if printer.json {
+				if err := printer.print(result, nil); err != nil {
+					return err
+				}
+			}
 			return result.Check()
 		},
 	}
--- a/internal/commander/keys.go
+++ b/internal/commander/keys.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
+	"encoding/hex"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -17,22 +21,25 @@
 func (p *Program) keysCommand() *ffcli.Command {
 	f := newFlags("keys")
 	dir := f.String("dir", "keys", "directory for the files; it is created if missing")
+	var output outputFlag
+	output.register(f)
 	ips := f.String("ips", "", "IP addresses besides loopback that the certificates name, separated by commas")
 	return &ffcli.Command{
 		Name:       "keys",
 		ShortUsage: "persimmontrail keys [flags]",
 		ShortHelp:  "Make a local authority with certificates for a trial.",
 		LongHelp: `The files are authority.crt and, for entry, agent and operator, ROLE.crt and ROLE.key. Keep the keys of a
-real deployment with your own authority; the role stands in the subject's organizational unit.`,
+real deployment with your own authority; the role stands in the subject's organizational unit. Example:
+  persimmontrail keys --dir keys --ips 10.0.0.7,10.0.1.4`,
 		FlagSet: f,
-		Exec: func(context.Context, []string) error {
-			var addresses []net.IP
-			for _, text := range splitList(*ips) {
-				ip := net.ParseIP(text)
-				if ip == nil {
-					return validator.Errors{{Field: "ips", Reason: fmt.Sprintf("%q is no IP address", text)}}
-				}
-				addresses = append(addresses, ip)
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return fmt.Errorf("%w: unknown command %q, want token", errUsage, args[0])
+			}
+			printer, outputErr := p.printer(output)
+			addresses, ipErr := parseIPs(*ips)
+			if err := joinFaults(outputErr, ipErr); err != nil {
+				return err
 			}
 			if err := os.MkdirAll(*dir, 0o700); err != nil {
 				return validator.Errors{{Field: "dir", Reason: err.Error()}}
@@ -44,10 +51,87 @@
 			if err := authority.WriteFiles(*dir, issuer.WithIPs(addresses...)); err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(p.Stdout, "wrote authority.crt and the keys of entry, agent and operator to %s\n", *dir)
-			return err
+			written := struct {
+				Directory string
+				Roles     []string
+			}{*dir, []string{"entry", "agent", "operator"}}
+			return printer.print(written, func(w io.Writer) {
+				fmt.Fprintf(w, "wrote authority.crt and the keys of entry, agent and operator to %s\n", *dir)
+			})
 		},
+		Subcommands: []*ffcli.Command{p.tokenCommand()},
+	}
+}
+
+func parseIPs(list string) ([]net.IP, error) {
+	var addresses []net.IP
+	var faults validator.Errors
+	for _, text := range splitList(list) {
+		ip := net.ParseIP(text)
+		if ip == nil {
+			faults = append(faults, validator.FieldError{Field: "ips", Reason: fmt.Sprintf("%q is no IP address", text)})
+		}
+		addresses = append(addresses, ip)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return addresses, nil
+}
+
+// tokenBytes makes a token too long to guess.
+const tokenBytes = 32
+
+func (p *Program) tokenCommand() *ffcli.Command {
+	f := newFlags("token")
+	var output outputFlag
+	output.register(f)
+	out := f.String("out", "", "file for the token; it must not exist yet")
+	return &ffcli.Command{
+		Name:       "token",
+		ShortUsage: "persimmontrail keys token [flags]",
+		ShortHelp:  "Make a random token and print its hash.",
+		LongHelp: `The file goes to the caller, who names it with --token-file, or to entries as --operator-token-file. The hash
+of a workspace's token is the TokenHash of the workspace in the configuration. Example:
+  persimmontrail keys token --out atelier.token`,
+		FlagSet: f,
+		Exec: func(context.Context, []string) error {
+			printer, outputErr := p.printer(output)
+			var fileErr error
+			if *out == "" {
+				fileErr = validator.Errors{{Field: "out", Reason: "must name a file"}}
+			}
+			if err := joinFaults(outputErr, fileErr); err != nil {
+				return err
+			}
+			random := make([]byte, tokenBytes)
+			if _, err := rand.Read(random); err != nil {
+				return err
+			}
+			token := hex.EncodeToString(random)
+			if err := writeNew(*out, token+"\n"); err != nil {
+				return validator.Errors{{Field: "out", Reason: err.Error()}}
+			}
+			sum := sha256.Sum256([]byte(token))
+			made := struct{ File, TokenHash string }{*out, hex.EncodeToString(sum[:])}
+			return printer.print(made, func(w io.Writer) {
+				fmt.Fprintf(w, "file\t%s\nTokenHash\t%s\n", made.File, made.TokenHash)
+			})
+		},
+	}
+}
+
+// writeNew writes a file that only its owner can read and never replaces one, because a token that is in use would be lost.
+func writeNew(name, text string) error {
+	f, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := f.WriteString(text); err != nil {
+		f.Close()
+		return err
 	}
+	return f.Close()
 }
 
 // loadHTTPKeys returns the TLS settings for callers, or nil when no keys are
--- a/internal/commander/operator.go
+++ b/internal/commander/operator.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -29,29 +30,40 @@
 }
 
 func oneArgument(args []string, what string) (string, error) {
-	if len(args) != 1 {
-		return "", fmt.Errorf("%w: want exactly one argument, %s", errUsage, what)
+	switch {
+	case len(args) == 0:
+		return "", fmt.Errorf("%w: an argument is missing: %s", errUsage, what)
+	case len(args) > 1:
+		return "", fmt.Errorf("%w: want one argument, %s, and not %q; flags stand before arguments", errUsage, what, args[1:])
 	}
 	return args[0], nil
 }
 
 func (p *Program) validateCommand() *ffcli.Command {
+	f := newFlags("validate")
+	var output outputFlag
+	output.register(f)
 	return &ffcli.Command{
 		Name:       "validate",
-		ShortUsage: "persimmontrail validate FILE",
+		ShortUsage: "persimmontrail validate [flags] FILE",
 		ShortHelp:  "Check a configuration file without changing anything.",
-		FlagSet:    newFlags("validate"),
+		LongHelp: `All faults are shown at once, each with its field. Example:
+  persimmontrail validate deployment.json`,
+		FlagSet: f,
 		Exec: func(_ context.Context, args []string) error {
 			file, err := oneArgument(args, "the configuration file")
 			if err != nil {
 				return err
 			}
+			printer, outputErr := p.printer(output)
 			cfg, err := readConfiguration(file)
-			if err != nil {
+			if err := joinFaults(outputErr, err); err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(p.Stdout, "valid: %d workspaces, %d classes, %d failure domains\n", len(cfg.Workspaces), len(cfg.Classes), len(cfg.FailureDomains))
-			return err
+			v := struct{ Workspaces, Classes, FailureDomains int }{len(cfg.Workspaces), len(cfg.Classes), len(cfg.FailureDomains)}
+			return printer.print(v, func(w io.Writer) {
+				fmt.Fprintf(w, "valid: %d workspaces, %d classes, %d failure domains\n", v.Workspaces, v.Classes, v.FailureDomains)
+			})
 		},
 	}
 }
@@ -75,12 +87,9 @@
 			if err != nil {
 				return err
 			}
-			cfg, err := readConfiguration(file)
-			if err != nil {
-				return err
-			}
-			client, err := p.client(c)
-			if err != nil {
+			cfg, fileErr := readConfiguration(file)
+			client, clientErr := p.client(c)
+			if err := joinFaults(fileErr, clientErr); err != nil {
 				return err
 			}
 			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
@@ -130,6 +139,7 @@
 		Name:       "domain",
 		ShortUsage: "persimmontrail domain out|in|list [flags] [NAME]",
 		ShortHelp:  "Take a failure domain out, bring it back, or list all.",
+		LongHelp:   "Example:\n  persimmontrail domain out --operator jana Sherbrooke",
 		FlagSet:    newFlags("domain"),
 		Subcommands: []*ffcli.Command{
 			p.setDomainCommand("out", "Take a failure domain out: nothing starts there any more.", true),
@@ -137,7 +147,7 @@
 			p.listDomainsCommand(),
 		},
 	}
-	c.Exec = p.needsSubcommand(c)
+	c.Exec = needsSubcommand(c)
 	return c
 }
 
@@ -149,7 +159,10 @@
 		Name:       name,
 		ShortUsage: "persimmontrail domain " + name + " [flags] NAME",
 		ShortHelp:  help,
-		FlagSet:    f,
+		LongHelp: `The answer is Accepted once the change is in force everywhere within seconds, or Stored when some entries did
+not acknowledge it; repeat the command then. Example:
+  persimmontrail domain ` + name + ` --operator jana Sherbrooke`,
+		FlagSet: f,
 		Exec: func(ctx context.Context, args []string) error {
 			domain, err := oneArgument(args, "the failure domain")
 			if err != nil {
@@ -179,6 +192,7 @@
 		Name:       "list",
 		ShortUsage: "persimmontrail domain list [flags]",
 		ShortHelp:  "List the failure domains.",
+		LongHelp:   "Example:\n  persimmontrail domain list",
 		FlagSet:    f,
 		Exec: func(ctx context.Context, _ []string) error {
 			client, err := p.client(c)
@@ -218,7 +232,8 @@
 	return &ffcli.Command{
 		Name:       "status",
 		ShortUsage: "persimmontrail status [flags]",
-		ShortHelp:  "Show entries, agents, schedulers, guarantees and fragmentation.",
+		ShortHelp:  "Show entries, agents, failure domains, schedulers, guarantees and fragmentation.",
+		LongHelp:   "Example:\n  persimmontrail status --output json",
 		FlagSet:    f,
 		Exec: func(ctx context.Context, _ []string) error {
 			client, err := p.client(c)
@@ -289,16 +304,17 @@
 		Name:       "audit",
 		ShortUsage: "persimmontrail audit [flags] [SUBJECT]",
 		ShortHelp:  "Show the newest audit records of an entry whose subject contains a text.",
+		LongHelp:   "Each entry keeps the records of its own decisions in memory. Example:\n  persimmontrail audit \"failure domain Sherbrooke\"",
 		FlagSet:    f,
 		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 1 {
+				return fmt.Errorf("%w: want at most one argument, the subject", errUsage)
+			}
 			client, err := p.client(c)
 			if err != nil {
 				return err
 			}
-			subject := ""
-			if len(args) > 0 {
-				subject = args[0]
-			}
+			subject := strings.Join(args, "")
 			ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 			defer cancel()
 			var answer struct{ Records []recorder.AuditRecord }
--- a/internal/commander/replay.go
+++ b/internal/commander/replay.go
@@ -211,7 +211,7 @@
 		FlagSet:     newFlags("trace"),
 		Subcommands: []*ffcli.Command{p.generateCommand()},
 	}
-	c.Exec = p.needsSubcommand(c)
+	c.Exec = needsSubcommand(c)
 	return c
 }
 
--- a/internal/commander/server.go
+++ b/internal/commander/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 
@@ -118,7 +119,7 @@
 			s.FailureDomain = descriptor.FailureDomainID(domain)
 			reloader, keyErr := keys.load()
 			logger, logErr := p.logger(logs, "entry")
-			token, tokenErr := readToken(tokenFile)
+			token, tokenErr := readToken("operator-token-file", tokenFile)
 			httpTLS, httpErr := loadHTTPKeys(httpFiles)
 			if err := joinFaults(s.Validate(), keyErr, logErr, tokenErr, httpErr); err != nil {
 				return err
@@ -134,17 +135,18 @@
 	}
 }
 
-func readToken(file string) (string, error) {
+// readToken reads the file that a flag names; no file is no token.
+func readToken(field, file string) (string, error) {
 	if file == "" {
 		return "", nil
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return "", validator.Errors{{Field: "operator-token-file", Reason: err.Error()}}
+		return "", validator.Errors{{Field: field, Reason: err.Error()}}
 	}
 	token := strings.TrimSpace(string(data))
 	if token == "" {
-		return "", validator.Errors{{Field: "operator-token-file", Reason: "is empty"}}
+		return "", validator.Errors{{Field: field, Reason: file + " is empty"}}
 	}
 	return token, nil
 }
@@ -182,13 +184,11 @@
 			s.Entries = splitList(entries)
 			reloader, keyErr := keys.load()
 			logger, logErr := p.logger(logs, "agent")
-			if keyErr == nil {
-				client := s.Connect(reloader.ServerTLS(), reloader.ClientTLS(messenger.RoleEntry))
-				defer client.Close()
-			}
-			if err := joinFaults(s.Validate(), keyErr, logErr); err != nil {
+			if err := joinFaults(checkAgent(s), checkAddress("listen", s.Listen), checkAddress("http-listen", s.HTTPListen), keyErr, logErr); err != nil {
 				return err
 			}
+			client := s.Connect(reloader.ServerTLS(), reloader.ClientTLS(messenger.RoleEntry))
+			defer client.Close()
 			s.Logger = logger
 			s.Ready = func(address, httpAddress string) { p.announce(httpAddress, address) }
 			return supervisor.Run(ctx, s)
@@ -196,6 +196,20 @@
 	}
 }
 
+// checkAgent leaves out the key files, whose flags are checked one by one.
+func checkAgent(s supervisor.Settings) error {
+	s.Connect(nil, nil)
+	return s.Validate()
+}
+
+func checkAddress(field, address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return validator.Errors{{Field: field, Reason: fmt.Sprintf("is %q, want an IP address and port such as 127.0.0.1:7500", address)}}
+	}
+	return nil
+}
+
 func splitList(text string) []string {
 	var list []string
 	for part := range strings.SplitSeq(text, ",") {
--- /dev/null
+++ b/internal/commander/usage_test.go
@@ -0,0 +1,100 @@
+package commander
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// everyCommand calls visit with the command line of each command.
+func everyCommand(c *ffcli.Command, path []string, visit func(c *ffcli.Command, path []string)) {
+	visit(c, path)
+	for _, s := range c.Subcommands {
+		everyCommand(s, append(path[:len(path):len(path)], s.Name), visit)
+	}
+}
+
+// Guards against a command without help, example or documented flags, and against unnoticed changes of the command line.
+func TestHelp(t *testing.T) {
+	var all strings.Builder
+	everyCommand((&Program{}).root(), nil, func(c *ffcli.Command, path []string) {
+		if c.Name == "load" {
+			return
+		}
+		code, stdout, stderr := runProgram(t, append(path, "--help")...)
+		assert.Equal(t, code, ExitOK, "%v: %s", path, stderr)
+		assert.Equal(t, stderr, "")
+		assert.Assert(t, strings.Contains(stdout, "Example:\n  persimmontrail "), "%v has no example:\n%s", path, stdout)
+		fmt.Fprintf(&all, "$ persimmontrail %s --help\n%s\n", strings.Join(path, " "), stdout)
+	})
+	golden.Assert(t, all.String(), "help.golden")
+}
+
+// Guards against a flag of a subcommand whose environment variable is ignored.
+func TestEveryFlagHasAVariable(t *testing.T) {
+	everyCommand((&Program{}).root(), nil, func(c *ffcli.Command, path []string) {
+		c.FlagSet.VisitAll(func(f *flag.Flag) {
+			value := "3s"
+			for _, try := range []string{"3s", "3", "true"} {
+				if f.Value.Set(try) == nil {
+					value = try
+					break
+				}
+			}
+			t.Run(strings.Join(path, " ")+" "+f.Name, func(t *testing.T) {
+				t.Setenv(variableOf(f.Name), value)
+				p := &Program{Stdout: &bytes.Buffer{}, Stderr: &bytes.Buffer{}}
+				root := p.root()
+				assert.NilError(t, root.Parse(path))
+				everyCommand(root, nil, func(d *ffcli.Command, other []string) {
+					if strings.Join(other, " ") == strings.Join(path, " ") {
+						assert.Equal(t, d.FlagSet.Lookup(f.Name).Value.String(), f.Value.String())
+					}
+				})
+			})
+		})
+	})
+}
+
+// Guards against unclear errors of the command line and against wrong exit codes.
+func TestUsageErrors(t *testing.T) {
+	var all strings.Builder
+	for _, args := range [][]string{
+		{},
+		{"jobs"},
+		{"job"},
+		{"job", "delete"},
+		{"keys", "tokens"},
+		{"job", "submit", "--gpus", "3"},
+		{"job", "submit", "--tasks", "three"},
+		{"job", "submit", "--output", "yaml", "--adjacency", "Room", "--entry", "10.0.0.7:7401", "--token-file", "testdata/missing"},
+		{"job", "list", "atelier"},
+		{"job", "get", "atelier"},
+		{"job", "get", "atelier", "j1", "--output", "json"},
+		{"domain", "out"},
+		{"domain", "out", "Sherbrooke", "--operator", "jana"},
+		{"apply"},
+		{"validate", "testdata/missing.json"},
+		{"request", "--ask", "--body", "@testdata/missing"},
+		{"audit", "a", "b"},
+		{"status", "--http-authority", "testdata/missing.crt"},
+		{"keys", "--ips", "10.0.0.7,here,there"},
+		{"keys", "token"},
+		{"trace", "generate", "--day", "good", "--deployment", "Paris"},
+		{"entry", "--listen", "here", "--store", "there", "--log-level", "loud", "--log-format", "xml", "--operator-token-file", "testdata/missing", "--http-tls-certificate", "testdata/missing.crt"},
+		{"agent", "--listen", "here", "--log-level", "loud"},
+		{"demo", "--log-format", "xml", "--output", "xml"},
+	} {
+		code, stdout, stderr := runProgram(t, args...)
+		assert.Equal(t, code, ExitUsage, "%v: %s", args, stderr)
+		assert.Equal(t, stdout, "")
+		fmt.Fprintf(&all, "$ persimmontrail %s\n%s\n", strings.Join(args, " "), stderr)
+	}
+	golden.Assert(t, all.String(), "usage-errors.golden")
+}
