Who may do what: tests over a running entry, and the faults they found

Tests run the real command line and raw HTTP against an entry in process. Fixed, each with a test that failed before: - Before the first configuration, callers without any token were answered although the operator's token was set; now 503 until tokens can be checked. - The answer for an unknown request differed from the one for another workspace's. - TokenHash in upper case never matched; a hash that is no hex was accepted. - A failure domain switch without Out brought the failure domain back in. - Text after the JSON value was ignored. - A configuration over the store's 1 MB was answered with status 500. - An entry started with an agent's certificate, which every peer refuses, with an expired certificate for callers, or with a half of the pair; errors did not name the file.

--- /dev/null
+++ b/internal/commander/entry_test.go
@@ -0,0 +1,458 @@
+package commander
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/internal/faker"
+	"persimmontrail/internal/issuer"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+)
+
+// testEntry is an entry in process with a store stand-in.
+type testEntry struct {
+	t       *testing.T
+	store   *faker.Store
+	url     string
+	address string
+	// flags reach the entry as the operator.
+	flags []string
+}
+
+const operatorToken = "operator's token"
+
+// startEntry starts an entry that asks for the operator's token when withTokens is set.
+func startEntry(t *testing.T, change func(*coordinator.Settings)) *testEntry {
+	t.Helper()
+	e := &testEntry{t: t, store: &faker.Store{}}
+	store := httptest.NewServer(e.store)
+	authority, err := issuer.NewAuthority()
+	assert.NilError(t, err)
+	server, err := authority.Server(messenger.RoleEntry, "entry")
+	assert.NilError(t, err)
+	client, err := authority.Client(messenger.RoleEntry, "entry")
+	assert.NilError(t, err)
+	ready := make(chan string, 2)
+	s := coordinator.Settings{
+		Name: "entry-1", Region: "Morava", FailureDomain: "Brno", Listen: "127.0.0.1:0", HTTPListen: "127.0.0.1:0",
+		StoreURL: store.URL, ServerTLS: server, ClientTLS: client,
+		Ready: func(httpAddress, address string) { ready <- httpAddress; ready <- address },
+	}
+	if change != nil {
+		change(&s)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- coordinator.Run(ctx, s) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-stopped)
+		store.Close()
+	})
+	scheme := "http://"
+	if s.HTTPTLS != nil {
+		scheme = "https://"
+	}
+	select {
+	case e.url = <-ready:
+		e.url = scheme + e.url
+		e.address = <-ready
+	case err := <-stopped:
+		stopped <- err
+		t.Fatal(err)
+	}
+	e.flags = []string{"--entry", e.url}
+	return e
+}
+
+// file writes a file for a test.
+func file(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "file")
+	assert.NilError(t, os.WriteFile(name, []byte(text), 0o600))
+	return name
+}
+
+// run runs a command with the entry's flags in front of its arguments.
+func (e *testEntry) run(command string, args ...string) (int, string, string) {
+	e.t.Helper()
+	all := append(strings.Fields(command), e.flags...)
+	return runProgram(e.t, append(all, args...)...)
+}
+
+// apply puts a configuration in force that changes the example of Dešťovka.
+func (e *testEntry) apply(change func(*descriptor.Configuration)) {
+	e.t.Helper()
+	cfg := exampleConfiguration(e.t)
+	if change != nil {
+		change(&cfg)
+	}
+	code, stdout, stderr := e.run("apply", "--force", jsonFile(e.t, cfg))
+	assert.Equal(e.t, code, ExitOK, stderr)
+	assert.Assert(e.t, strings.HasPrefix(stdout, coordinator.ChangeAccepted), stdout)
+}
+
+func exampleConfiguration(t *testing.T) descriptor.Configuration {
+	t.Helper()
+	data, err := os.ReadFile("../../examples/destovka.json")
+	assert.NilError(t, err)
+	var cfg descriptor.Configuration
+	assert.NilError(t, json.Unmarshal(data, &cfg))
+	return cfg
+}
+
+func jsonFile(t *testing.T, v any) string {
+	t.Helper()
+	data, err := json.Marshal(v)
+	assert.NilError(t, err)
+	return file(t, string(data))
+}
+
+// state is what wrong input must not change: the configuration and the accepted jobs.
+func (e *testEntry) state() string {
+	e.t.Helper()
+	var all []string
+	for _, path := range []string{"/v1/configuration", "/v1/jobs"} {
+		_, body := e.call(http.MethodGet, path, operatorToken, "")
+		all = append(all, body)
+	}
+	return strings.Join(all, "\n")
+}
+
+// call sends raw HTTP, as a caller without this command line does.
+func (e *testEntry) call(method, path, token, body string) (int, string) {
+	e.t.Helper()
+	r, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
+	assert.NilError(e.t, err)
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(e.t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(e.t, err)
+	return response.StatusCode, string(data)
+}
+
+// Guards against input that is wrong and accepted, changes something, or is refused without field and reason.
+func TestWrongInputNamesTheFieldAndChangesNothing(t *testing.T) {
+	e := startEntry(t, nil)
+	e.apply(nil)
+	before := e.state()
+	change := func(f func(*descriptor.Configuration)) string {
+		cfg := exampleConfiguration(t)
+		cfg.Revision = 1
+		f(&cfg)
+		return jsonFile(t, cfg)
+	}
+	large := file(t, strings.Repeat("x", 1_000_001))
+	job := func(args ...string) []string {
+		return append([]string{"--workspace", "obec", "--class", "Survey"}, args...)
+	}
+	for _, c := range []struct {
+		name, command string
+		args          []string
+		code          int
+		want          []string
+	}{
+		{"unknown field", "apply", []string{file(t, `{"Weights": 3}`)}, ExitUsage, []string{"configuration:", "Weights"}},
+		{"share above the guarantee", "apply", []string{change(func(c *descriptor.Configuration) { c.Classes[1].Share = 1.5 })}, ExitUsage, []string{"Classes[1].Share:", "cannot claim more than its workspace's guarantee"}},
+		{"guarantees that do not fit together", "apply", []string{change(func(c *descriptor.Configuration) { c.Workspaces[3].Guarantees[0].Count = 40 })}, ExitUsage, []string{"Workspaces:", `"obec"`, "does not fit together"}},
+		{"wrong revision", "apply", []string{change(func(c *descriptor.Configuration) { c.Revision = 7 })}, ExitFailed, []string{"at revision 1", "based on revision 7"}},
+		{"unknown region", "job submit", job("--region", "Čechý"), ExitUsage, []string{"Region:", "Čechý", "NotRun"}},
+		{"gang larger than the fleet", "job submit", job("--tasks", "200", "--accelerators", "8", "--cores", "0", "--memory", "0"), ExitUsage, []string{"Tasks:", "can never fit", "NotRun"}},
+		{"no tasks and negative cores", "job submit", job("--tasks", "0", "--cores", "-1"), ExitUsage, []string{"Tasks:", "PerTask.Cores:"}},
+		{"unknown workspace and class", "job submit", []string{"--workspace", "x", "--class", "y"}, ExitUsage, []string{"Workspace:", "Class:"}},
+		{"payload over the limit", "job submit", job("--payload", strings.Repeat("x", 40_000)), ExitUsage, []string{"Payload:", "32000"}},
+		{"body over 1 MB", "request", []string{"--workspace", "obec", "--class", "Sizing", "--body", "@" + large}, ExitUsage, []string{"Body:", "1000000"}},
+		{"class without service", "request", []string{"--workspace", "obec", "--class", "Survey"}, ExitUsage, []string{"Class:", "names no service"}},
+		{"unknown failure domain", "domain out", []string{"Praha?#%/x"}, ExitFailed, []string{"FailureDomain:", "Praha?#%/x"}},
+		{"unknown job", "job get", []string{"obec", "j/1?x=%41"}, ExitFailed, []string{"no job obec/j/1?x=%41"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			code, stdout, stderr := e.run(c.command, c.args...)
+			assert.Equal(t, code, c.code, stderr)
+			assert.Equal(t, stdout, "")
+			for _, w := range c.want {
+				assert.Assert(t, strings.Contains(stderr, w), "%q is missing in %s", w, stderr)
+			}
+			assert.Equal(t, e.state(), before)
+		})
+	}
+}
+
+// Guards against an entry that relies on the checks of the command line.
+func TestEntryChecksRawInput(t *testing.T) {
+	e := startEntry(t, nil)
+	e.apply(nil)
+	before := e.state()
+	largeName := strings.Repeat("n", 100)
+	var classes []string
+	for i := range 200 {
+		classes = append(classes, fmt.Sprintf(`{"Name":"%s%d","FinishWithin":"1s","Share":1}`, largeName, i))
+	}
+	var workspaces []string
+	for i := range 2000 {
+		workspaces = append(workspaces, fmt.Sprintf(`{"Name":"%s%d","TokenHash":"%s","Guarantees":[%s{"Accelerators":1}]}`, largeName, i, strings.Repeat("0", 64), strings.Repeat(`{"Accelerators":1},`, 20)))
+	}
+	overOneMegabyte := `{"Revision":1,"FailureDomains":[{"Name":"Brno","Region":"Morava"}],"Classes":[` + strings.Join(classes, ",") + `],"Workspaces":[` + strings.Join(workspaces, ",") + `]}`
+	for _, c := range []struct {
+		name, method, path, body string
+		status                   int
+		want                     string
+	}{
+		{"unknown field of a job", http.MethodPost, "/v1/jobs", `{"ID":"j","Weight":3}`, http.StatusBadRequest, "Weight"},
+		{"text after a job", http.MethodPost, "/v1/jobs", `{"ID":"j","Workspace":"obec","Class":"Survey","Tasks":1,"PerTask":{"Cores":1},"DeclaredRunTime":"1s"} {}`, http.StatusBadRequest, "more than one JSON value"},
+		{"unknown field of a request", http.MethodPost, "/v1/requests", `{"ID":"j","Priority":3}`, http.StatusBadRequest, "Priority"},
+		{"body over the limit", http.MethodPost, "/v1/requests", `{"Body":"` + strings.Repeat("A", 2_100_000) + `"}`, http.StatusRequestEntityTooLarge, "Body"},
+		{"share above 1", http.MethodPut, "/v1/configuration", `{"Revision":1,"FailureDomains":[{"Name":"Brno","Region":"Morava"}],"Classes":[{"Name":"a","FinishWithin":"1s","Share":2}]}`, http.StatusUnprocessableEntity, "Classes[0].Share"},
+		{"configuration over 1 MB", http.MethodPut, "/v1/configuration", overOneMegabyte, http.StatusRequestEntityTooLarge, "1 MB"},
+		{"switch without Out", http.MethodPut, "/v1/failure-domains/Brno", `{}`, http.StatusBadRequest, "Out"},
+		{"unknown path", http.MethodGet, "/v1/nothing", "", http.StatusNotFound, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			status, body := e.call(c.method, c.path, "", c.body)
+			assert.Equal(t, status, c.status, "%.300s", body)
+			assert.Assert(t, strings.Contains(body, c.want), "%q is missing in %.300s", c.want, body)
+			assert.Equal(t, e.state(), before)
+		})
+	}
+}
+
+// Guards against names that are cut or changed on their way to the entry.
+func TestNamesInURLsAreEscaped(t *testing.T) {
+	e := startEntry(t, nil)
+	e.apply(func(c *descriptor.Configuration) {
+		c.Fleet = nil
+		c.FailureDomains = append(c.FailureDomains, descriptor.FailureDomain{Name: "Ústí?a=1#%41", Region: "Čechy"})
+	})
+	code, stdout, stderr := e.run("domain out", "--operator", "Jiří Dvořák", "Ústí?a=1#%41")
+	assert.Equal(t, code, ExitOK, stderr)
+	assert.Assert(t, strings.Contains(stdout, "revision 2"), stdout)
+	_, stdout, _ = e.run("domain list")
+	assert.Assert(t, strings.Contains(strings.Join(strings.Fields(stdout), " "), "Ústí?a=1#%41 Čechy out"), stdout)
+	_, stdout, _ = e.run("audit", "failure domain Ústí?a=1#%41")
+	assert.Assert(t, strings.Contains(stdout, "Jiří Dvořák"), stdout)
+	code, _, stderr = e.run("job submit", "--workspace", "obec", "--class", "Survey", "--region", "Čechy", "--id", "příjem?1#%2F")
+	assert.Equal(t, code, ExitOK, stderr)
+	code, stdout, stderr = e.run("job get", "obec", "příjem?1#%2F")
+	assert.Equal(t, code, ExitOK, stderr)
+	assert.Assert(t, strings.Contains(stdout, "příjem?1#%2F"), stdout)
+}
+
+func hashOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Guards against a workspace that learns of or changes another's work, and against operators' calls by others.
+func TestWhoMayDoWhat(t *testing.T) {
+	e := startEntry(t, func(s *coordinator.Settings) { s.OperatorToken = operatorToken })
+	e.flags = append(e.flags, "--token-file", file(t, operatorToken))
+	e.apply(func(c *descriptor.Configuration) {
+		c.Workspaces[0].TokenHash = hashOf("token of brno")
+		// Upper case is a valid form of hex as well.
+		c.Workspaces[3].TokenHash = strings.ToUpper(hashOf("token of obec"))
+	})
+	job := func(workspace string) string {
+		return `{"ID":"j1","Workspace":"` + workspace + `","Class":"Survey","Tasks":1,"PerTask":{"Accelerators":1},"DeclaredRunTime":"1m"}`
+	}
+	expect := func(token, method, path, body string, want int) string {
+		t.Helper()
+		status, answer := e.call(method, path, token, body)
+		assert.Equal(t, status, want, "%s %s as %q: %s", method, path, token, answer)
+		return answer
+	}
+	expect("token of brno", http.MethodPost, "/v1/jobs", job("brno-instal"), http.StatusOK)
+	// The workspace may be left out by a caller that has only one.
+	expect("token of obec", http.MethodPost, "/v1/jobs", strings.Replace(job(""), "j1", "j2", 1), http.StatusOK)
+
+	expect("token of obec", http.MethodPost, "/v1/jobs", job("brno-instal"), http.StatusForbidden)
+	expect("token of obec", http.MethodPost, "/v1/requests", `{"ID":"r1","Workspace":"brno-instal","Class":"Sizing"}`, http.StatusForbidden)
+	for _, path := range []string{"/v1/jobs/brno-instal/%s", "/v1/jobs/brno-instal/%s/explain"} {
+		// The answers for a job that exists and for one that does not must not differ.
+		exists := expect("token of obec", http.MethodGet, fmt.Sprintf(path, "j1"), "", http.StatusNotFound)
+		absent := expect("token of obec", http.MethodGet, fmt.Sprintf(path, "j9"), "", http.StatusNotFound)
+		assert.Equal(t, strings.ReplaceAll(absent, "j9", "j1"), exists)
+		expect("token of brno", http.MethodGet, fmt.Sprintf(path, "j1"), "", http.StatusOK)
+	}
+	expect("token of obec", http.MethodDelete, "/v1/jobs/brno-instal/j1", "", http.StatusNotFound)
+	own := expect("token of obec", http.MethodGet, "/v1/requests/obec/r9", "", http.StatusNotFound)
+	other := expect("token of obec", http.MethodGet, "/v1/requests/brno-instal/r9", "", http.StatusNotFound)
+	assert.Equal(t, own, other)
+	list := expect("token of obec", http.MethodGet, "/v1/jobs", "", http.StatusOK)
+	assert.Assert(t, strings.Contains(list, `"j2"`) && !strings.Contains(list, "brno-instal"), list)
+	assert.Assert(t, strings.Contains(expect(operatorToken, http.MethodGet, "/v1/jobs", "", http.StatusOK), "brno-instal"))
+
+	for _, token := range []string{"", "wrong", hashOf("token of obec")} {
+		expect(token, http.MethodGet, "/v1/jobs", "", http.StatusUnauthorized)
+		expect(token, http.MethodPost, "/v1/jobs", job("obec"), http.StatusUnauthorized)
+		expect(token, http.MethodPut, "/v1/failure-domains/Brno", `{"Out":true}`, http.StatusUnauthorized)
+	}
+	for _, call := range []struct{ method, path, body string }{
+		{http.MethodGet, "/v1/configuration", ""},
+		{http.MethodPut, "/v1/configuration", `{}`},
+		{http.MethodGet, "/v1/failure-domains", ""},
+		{http.MethodPut, "/v1/failure-domains/Brno", `{"Out":true}`},
+		{http.MethodGet, "/v1/status", ""},
+		{http.MethodGet, "/v1/audit", ""},
+	} {
+		expect("token of obec", call.method, call.path, call.body, http.StatusForbidden)
+	}
+	_, stdout, _ := e.run("domain list")
+	assert.Assert(t, !strings.Contains(stdout, "out"), stdout)
+}
+
+// Guards against an operators' interface that is open to everyone before the first configuration.
+func TestTokensAreCheckedBeforeTheFirstConfiguration(t *testing.T) {
+	e := startEntry(t, func(s *coordinator.Settings) { s.OperatorToken = operatorToken })
+	for _, token := range []string{"", "wrong"} {
+		status, body := e.call(http.MethodGet, "/v1/jobs", token, "")
+		assert.Equal(t, status, http.StatusServiceUnavailable, body)
+		status, body = e.call(http.MethodPut, "/v1/configuration", token, `{}`)
+		assert.Equal(t, status, http.StatusForbidden, body)
+	}
+}
+
+// Guards against requests that fail while the certificate for callers is replaced, and against a replacement that is not used.
+func TestCertificateForCallersIsReplacedWhileRequestsRun(t *testing.T) {
+	dir := t.TempDir()
+	authority, err := issuer.NewAuthority()
+	assert.NilError(t, err)
+	files, err := authority.Write(dir, messenger.RoleEntry, "first")
+	assert.NilError(t, err)
+	httpTLS, err := loadHTTPKeys(files)
+	assert.NilError(t, err)
+	e := startEntry(t, func(s *coordinator.Settings) { s.HTTPTLS = httpTLS })
+	e.flags = append(e.flags, "--http-authority", files.Authority)
+	stop := make(chan struct{})
+	failures := make(chan error, 1)
+	go func() {
+		defer close(failures)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			// Each run has a connection, and thus a handshake, of its own.
+			if code, _, stderr := e.run("job list"); code != ExitOK {
+				failures <- errors.New(stderr)
+				return
+			}
+		}
+	}()
+	nameOf := func() string {
+		transport, err := clientTransport(files.Authority)
+		assert.NilError(t, err)
+		response, err := (&http.Client{Transport: transport}).Get(e.url + "/healthz")
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		return response.TLS.PeerCertificates[0].Subject.CommonName
+	}
+	assert.Equal(t, nameOf(), "first")
+	for i := range 20 {
+		name := fmt.Sprint("replacement ", i)
+		_, err := authority.Write(dir, messenger.RoleEntry, name)
+		assert.NilError(t, err)
+		assert.Equal(t, nameOf(), name)
+	}
+	close(stop)
+	assert.NilError(t, <-failures)
+
+	// Another authority's certificate is refused, and plain HTTP gets no answer.
+	other := t.TempDir()
+	stranger, err := issuer.NewAuthority()
+	assert.NilError(t, err)
+	strange, err := stranger.Write(other, messenger.RoleEntry, "strange")
+	assert.NilError(t, err)
+	code, _, stderr := runProgram(t, "job", "list", "--entry", e.url, "--http-authority", strange.Authority)
+	assert.Equal(t, code, ExitFailed)
+	assert.Assert(t, strings.Contains(stderr, "certificate"), stderr)
+}
+
+// Guards against key files whose fault is shown without the file's name.
+func TestWrongKeyFilesAreNamed(t *testing.T) {
+	dir := t.TempDir()
+	authority, err := issuer.NewAuthority()
+	assert.NilError(t, err)
+	good, err := authority.Write(dir, messenger.RoleEntry, "entry")
+	assert.NilError(t, err)
+	expired, err := authority.Write(t.TempDir(), messenger.RoleEntry, "entry", issuer.WithValidity(time.Now().Add(-2*time.Hour), time.Now().Add(-time.Hour)))
+	assert.NilError(t, err)
+	other, err := authority.Write(t.TempDir(), messenger.RoleEntry, "entry")
+	assert.NilError(t, err)
+	agent, err := authority.Write(t.TempDir(), messenger.RoleAgent, "agent")
+	assert.NilError(t, err)
+	for _, c := range []struct {
+		name, field, file string
+		files             issuer.Files
+	}{
+		{"missing", "tls", "absent.key", issuer.Files{Authority: good.Authority, Certificate: good.Certificate, Key: filepath.Join(dir, "absent.key")}},
+		{"expired", "tls", expired.Certificate, expired},
+		{"key of another certificate", "tls", other.Key, issuer.Files{Authority: good.Authority, Certificate: good.Certificate, Key: other.Key}},
+		{"no PEM", "tls", good.Key, issuer.Files{Authority: good.Key, Certificate: good.Certificate, Key: good.Key}},
+		{"role of an agent", "tls", agent.Certificate, agent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			var errs strings.Builder
+			p := &Program{Stdout: io.Discard, Stderr: &errs, Getenv: os.Getenv}
+			code := p.Run(ctx, []string{
+				"entry", "--region", "Morava", "--failure-domain", "Brno", "--listen", "127.0.0.1:0", "--http-listen", "127.0.0.1:0",
+				"--tls-authority", c.files.Authority, "--tls-certificate", c.files.Certificate, "--tls-key", c.files.Key,
+			})
+			assert.Equal(t, code, ExitUsage, errs.String())
+			assert.Assert(t, strings.Contains(errs.String(), c.field) && strings.Contains(errs.String(), c.file), errs.String())
+		})
+	}
+	for _, files := range []issuer.Files{
+		{Certificate: good.Certificate},
+		{Certificate: good.Certificate, Key: other.Key},
+		{Certificate: expired.Certificate, Key: expired.Key},
+		{Certificate: filepath.Join(dir, "absent.crt"), Key: good.Key},
+	} {
+		_, err := loadHTTPKeys(files)
+		assert.ErrorContains(t, err, "http-tls-")
+	}
+}
+
+// Guards against an agent of another installation that gets a permit or learns addresses.
+func TestAgentOfAnotherAuthorityGetsNothing(t *testing.T) {
+	e := startEntry(t, nil)
+	e.apply(nil)
+	stranger, err := issuer.NewAuthority()
+	assert.NilError(t, err)
+	tls, err := stranger.Client(messenger.RoleAgent, "agent")
+	assert.NilError(t, err)
+	// A client that accepts every server, as an attacker's does.
+	tls.VerifyConnection = nil
+	client := &messenger.Client{TLS: tls}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var answer messenger.ReportAnswer
+	err = client.Call(ctx, e.address, messenger.KindReport, messenger.Report{Agent: "a", Sequence: 1}, &answer)
+	assert.Assert(t, err != nil)
+	assert.DeepEqual(t, answer, messenger.ReportAnswer{})
+	_, stdout, _ := e.run("status", "--output", "json")
+	assert.Assert(t, strings.Contains(stdout, `"Agents": null`), stdout)
+}
--- a/internal/commander/keys.go
+++ b/internal/commander/keys.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -141,9 +142,15 @@
 	if files.Certificate == "" && files.Key == "" {
 		return nil, nil
 	}
+	if files.Certificate == "" || files.Key == "" {
+		return nil, validator.Errors{{Field: "http-tls-certificate, http-tls-key", Reason: "must be set together"}}
+	}
 	first, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
-		return nil, validator.Errors{{Field: "http-tls-certificate", Reason: err.Error()}}
+		return nil, validator.Errors{{Field: "http-tls-certificate, http-tls-key", Reason: fmt.Sprintf("%s, %s: %v", files.Certificate, files.Key, err)}}
+	}
+	if now := time.Now(); now.Before(first.Leaf.NotBefore) || now.After(first.Leaf.NotAfter) {
+		return nil, validator.Errors{{Field: "http-tls-certificate", Reason: fmt.Sprintf("%s is valid from %s until %s only", files.Certificate, first.Leaf.NotBefore.Format(time.RFC3339), first.Leaf.NotAfter.Format(time.RFC3339))}}
 	}
 	var last atomic.Pointer[tls.Certificate]
 	last.Store(&first)
--- a/internal/commander/server.go
+++ b/internal/commander/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -33,7 +34,9 @@
 	f.StringVar(&k.files.Key, "tls-key", "", "file with this process's private key")
 }
 
-func (k *keyFlags) load() (*issuer.Reloader, error) {
+// load reads the key files of a process with a role. A certificate of another
+// role would be refused by every peer, which only their logs would tell.
+func (k *keyFlags) load(role messenger.Role) (*issuer.Reloader, error) {
 	var faults validator.Errors
 	for _, f := range []struct{ name, value string }{
 		{"tls-authority", k.files.Authority},
@@ -51,6 +54,17 @@
 	if err != nil {
 		return nil, validator.Errors{{Field: "tls", Reason: err.Error()}}
 	}
+	pair, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
+	if err != nil {
+		return nil, validator.Errors{{Field: "tls", Reason: err.Error()}}
+	}
+	id, err := messenger.CertificateIdentity(pair.Leaf)
+	if err == nil && id.Role != role {
+		err = fmt.Errorf("the certificate has the role %q, want %q", id.Role, role)
+	}
+	if err != nil {
+		return nil, validator.Errors{{Field: "tls-certificate", Reason: fmt.Sprintf("%s: %v", k.files.Certificate, err)}}
+	}
 	return r, nil
 }
 
@@ -117,7 +131,7 @@
 			s.Name = descriptor.EntryID(uniqueName(name))
 			s.Region = descriptor.RegionID(region)
 			s.FailureDomain = descriptor.FailureDomainID(domain)
-			reloader, keyErr := keys.load()
+			reloader, keyErr := keys.load(messenger.RoleEntry)
 			logger, logErr := p.logger(logs, "entry")
 			token, tokenErr := readToken("operator-token-file", tokenFile)
 			httpTLS, httpErr := loadHTTPKeys(httpFiles)
@@ -182,7 +196,7 @@
 			s.Region = descriptor.RegionID(region)
 			s.FailureDomain = descriptor.FailureDomainID(domain)
 			s.Entries = splitList(entries)
-			reloader, keyErr := keys.load()
+			reloader, keyErr := keys.load(messenger.RoleAgent)
 			logger, logErr := p.logger(logs, "agent")
 			if err := joinFaults(checkAgent(s), checkAddress("listen", s.Listen), checkAddress("http-listen", s.HTTPListen), keyErr, logErr); err != nil {
 				return err
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -96,6 +96,8 @@
 	// workspace is the only one that the caller may act for; empty means any.
 	workspace descriptor.WorkspaceID
 	operator  bool
+	// unchecked means that no configuration is known yet, against which a token could be checked.
+	unchecked bool
 }
 
 func (c caller) mayUse(w descriptor.WorkspaceID) bool { return c.workspace == "" || c.workspace == w }
@@ -105,6 +107,9 @@
 func (e *Entry) asCaller(h handlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c, err := e.authenticate(r)
+		if c.unchecked {
+			_, err = e.requireConfiguration()
+		}
 		e.answer(w, r, h, c, err)
 	}
 }
@@ -148,6 +153,8 @@
 		return http.StatusUnprocessableEntity, Problem{Error: err.Error(), Fields: fields, Result: descriptor.ResultNotRun}
 	case errors.Is(err, keeper.ErrNotFound):
 		return http.StatusNotFound, Problem{Error: err.Error()}
+	case errors.Is(err, keeper.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge, Problem{Error: fmt.Sprintf("the store accepts values of at most 1 MB: %v", err), Result: descriptor.ResultNotRun}
 	case isStoreError(err):
 		return http.StatusServiceUnavailable, Problem{Error: err.Error()}
 	default:
@@ -189,6 +196,7 @@
 func (e *Entry) authenticateWorkspace(token string, anonymous caller) (caller, error) {
 	cfg := e.basis.configuration()
 	if cfg == nil {
+		anonymous.unchecked = !anonymous.operator
 		return anonymous, nil
 	}
 	sum := sha256.Sum256([]byte(token))
@@ -199,7 +207,7 @@
 			continue
 		}
 		required = true
-		if token != "" && subtle.ConstantTimeCompare([]byte(w.TokenHash), []byte(hash)) == 1 {
+		if token != "" && subtle.ConstantTimeCompare([]byte(strings.ToLower(w.TokenHash)), []byte(hash)) == 1 {
 			return caller{workspace: w.Name, operator: anonymous.operator}, nil
 		}
 	}
@@ -220,6 +228,9 @@
 		}
 		return notRun(http.StatusBadRequest, "body: %v", err)
 	}
+	if _, err := d.Token(); err != io.EOF {
+		return notRun(http.StatusBadRequest, "body: holds more than one JSON value")
+	}
 	return nil
 }
 
@@ -300,6 +311,10 @@
 		return nil, failf(http.StatusNotFound, "no such request")
 	}
 	a, err := e.lookUpRequest(ctx, w, descriptor.RequestID(r.PathValue("id")))
+	// The same answer as for another workspace's request, so that a caller learns nothing from the difference.
+	if errors.Is(err, keeper.ErrNotFound) {
+		return nil, failf(http.StatusNotFound, "no such request")
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordinator/operators.go
+++ b/internal/coordinator/operators.go
@@ -185,17 +185,21 @@
 // putDomain takes a failure domain out or back in. It changes nothing else, so
 // it is repeated on the newest configuration when another operator was faster.
 func (e *Entry) putDomain(ctx context.Context, _ caller, r *http.Request) (any, error) {
-	var wanted struct{ Out bool }
+	var wanted struct{ Out *bool }
 	if err := decodeBody(r, &wanted); err != nil {
 		return nil, err
 	}
+	// A missing field must not bring a failure domain back in.
+	if wanted.Out == nil {
+		return nil, failf(http.StatusBadRequest, "Out: must be true or false")
+	}
 	name := descriptor.FailureDomainID(r.PathValue("name"))
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	for {
-		stored, err := e.setDomain(ctx, name, wanted.Out, operatorName(r))
+		stored, err := e.setDomain(ctx, name, *wanted.Out, operatorName(r))
 		if err == nil {
-			e.audit("failure domain "+string(name), fmt.Sprintf("Out=%v", wanted.Out), "by "+operatorName(r))
+			e.audit("failure domain "+string(name), fmt.Sprintf("Out=%v", *wanted.Out), "by "+operatorName(r))
 			return e.spread(context.WithoutCancel(ctx), stored), nil
 		}
 		if !errors.Is(err, keeper.ErrRevisionChanged) {
--- a/pkg/validator/configuration.go
+++ b/pkg/validator/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -75,6 +76,9 @@
 		if w.TokenHash != "" && len(w.TokenHash) != 64 {
 			c.failf(field+".TokenHash", "has %d characters, want the 64 of a SHA-256 in hex", len(w.TokenHash))
 		}
+		if _, err := hex.DecodeString(w.TokenHash); err != nil {
+			c.failf(field+".TokenHash", "is not the hex of a SHA-256: %v", err)
+		}
 		for j, s := range w.Guarantees {
 			c.shape(fmt.Sprintf("%s.Guarantees[%d]", field, j), s, cfg)
 		}
