TestWhoMayDoWhat names the region of its job

A job that names none runs in a region that honours its workspace's guarantee, and an entry lists the jobs of its own region only.

--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -272,7 +272,7 @@
 		c.Workspaces[3].TokenHash = strings.ToUpper(hashOf("token of obec"))
 	})
 	job := func(workspace string) string {
-		return `{"ID":"j1","Workspace":"` + workspace + `","Class":"Survey","Tasks":1,"PerTask":{"Accelerators":1},"DeclaredRunTime":"1m"}`
+		return `{"ID":"j1","Workspace":"` + workspace + `","Class":"Survey","Region":"Morava","Tasks":1,"PerTask":{"Accelerators":1},"DeclaredRunTime":"1m"}`
 	}
 	expect := func(token, method, path, body string, want int) string {
 		t.Helper()
