--- a/internal/commander/load.go
+++ b/internal/commander/load.go
@@ -87,6 +87,8 @@
 		Name:       "agents",
 		ShortUsage: "persimmontrail load agents < group.json",
 		ShortHelp:  "Run the agents of a trial that share a process; load starts it.",
+		LongHelp: `Reads the group of agents as JSON from standard input. Example:
+  persimmontrail load agents < group.json`,
 		FlagSet:    newFlags("agents"),
 		Exec:       func(ctx context.Context, _ []string) error { return loader.RunGroup(ctx, p.Stdin, p.Stdout) },
 	}
--- a/internal/commander/server.go
+++ b/internal/commander/server.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 
@@ -32,7 +34,9 @@
 	f.StringVar(&k.files.Key, "tls-key", "", "file with this process's private key")
 }
 
-func (k *keyFlags) load() (*issuer.Reloader, error) {
+// load reads the key files of a process with a role. A certificate of another
+// role would be refused by every peer, which only their logs would tell.
+func (k *keyFlags) load(role messenger.Role) (*issuer.Reloader, error) {
 	var faults validator.Errors
 	for _, f := range []struct{ name, value string }{
 		{"tls-authority", k.files.Authority},
@@ -50,6 +54,17 @@
 	if err != nil {
 		return nil, validator.Errors{{Field: "tls", Reason: err.Error()}}
 	}
+	pair, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
+	if err != nil {
+		return nil, validator.Errors{{Field: "tls", Reason: err.Error()}}
+	}
+	id, err := messenger.CertificateIdentity(pair.Leaf)
+	if err == nil && id.Role != role {
+		err = fmt.Errorf("the certificate has the role %q, want %q", id.Role, role)
+	}
+	if err != nil {
+		return nil, validator.Errors{{Field: "tls-certificate", Reason: fmt.Sprintf("%s: %v", k.files.Certificate, err)}}
+	}
 	return r, nil
 }
 
@@ -116,9 +131,9 @@
 			s.Name = descriptor.EntryID(uniqueName(name))
 			s.Region = descriptor.RegionID(region)
 			s.FailureDomain = descriptor.FailureDomainID(domain)
-			reloader, keyErr := keys.load()
+			reloader, keyErr := keys.load(messenger.RoleEntry)
 			logger, logErr := p.logger(logs, "entry")
-			token, tokenErr := readToken(tokenFile)
+			token, tokenErr := readToken("operator-token-file", tokenFile)
 			httpTLS, httpErr := loadHTTPKeys(httpFiles)
 			if err := joinFaults(s.Validate(), keyErr, logErr, tokenErr, httpErr); err != nil {
 				return err
@@ -134,17 +149,18 @@
 	}
 }
 
-func readToken(file string) (string, error) {
+// readToken reads the file that a flag names; no file is no token.
+func readToken(field, file string) (string, error) {
 	if file == "" {
 		return "", nil
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return "", validator.Errors{{Field: "operator-token-file", Reason: err.Error()}}
+		return "", validator.Errors{{Field: field, Reason: err.Error()}}
 	}
 	token := strings.TrimSpace(string(data))
 	if token == "" {
-		return "", validator.Errors{{Field: "operator-token-file", Reason: "is empty"}}
+		return "", validator.Errors{{Field: field, Reason: file + " is empty"}}
 	}
 	return token, nil
 }
@@ -180,15 +196,13 @@
 			s.Region = descriptor.RegionID(region)
 			s.FailureDomain = descriptor.FailureDomainID(domain)
 			s.Entries = splitList(entries)
-			reloader, keyErr := keys.load()
+			reloader, keyErr := keys.load(messenger.RoleAgent)
 			logger, logErr := p.logger(logs, "agent")
-			if keyErr == nil {
-				client := s.Connect(reloader.ServerTLS(), reloader.ClientTLS(messenger.RoleEntry))
-				defer client.Close()
-			}
-			if err := joinFaults(s.Validate(), keyErr, logErr); err != nil {
+			if err := joinFaults(checkAgent(s), checkAddress("listen", s.Listen), checkAddress("http-listen", s.HTTPListen), keyErr, logErr); err != nil {
 				return err
 			}
+			client := s.Connect(reloader.ServerTLS(), reloader.ClientTLS(messenger.RoleEntry))
+			defer client.Close()
 			s.Logger = logger
 			s.Ready = func(address, httpAddress string) { p.announce(httpAddress, address) }
 			return supervisor.Run(ctx, s)
@@ -196,6 +210,20 @@
 	}
 }
 
+// checkAgent leaves out the key files, whose flags are checked one by one.
+func checkAgent(s supervisor.Settings) error {
+	s.Connect(nil, nil)
+	return s.Validate()
+}
+
+func checkAddress(field, address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return validator.Errors{{Field: field, Reason: fmt.Sprintf("is %q, want an IP address and port such as 127.0.0.1:7500", address)}}
+	}
+	return nil
+}
+
 func splitList(text string) []string {
 	var list []string
 	for part := range strings.SplitSeq(text, ",") {
