--- a/internal/faker/endpoint.go
+++ b/internal/faker/endpoint.go
@@ -267,7 +267,7 @@
 }
 
 func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, run *RequestRuns, body []byte) {
-	e.awaitVoice(r.Context())
+	e.waitWhileSilent(r.Context())
 	e.mu.Lock()
 	fail := e.switches.FailEverything
 	cut := !fail && e.cut.hit(e.switches.CutAnswers)
@@ -302,8 +302,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// awaitVoice waits while the endpoint is silent.
-func (e *Endpoint) awaitVoice(ctx context.Context) {
+// waitWhileSilent waits while the endpoint is silent.
+func (e *Endpoint) waitWhileSilent(ctx context.Context) {
 	for {
 		e.mu.Lock()
 		silent, changed := e.switches.Silent, e.changes.wait()
