--- a/internal/faker/worker.go
+++ b/internal/faker/worker.go
@@ -1,12 +1,8 @@
 package faker
 
 import (
-	"encoding/json"
-	"errors"
-	"fmt"
 	"maps"
 	"net/http"
-	"reflect"
 	"slices"
 	"strings"
 	"sync"
--- a/internal/faker/worker_task.go
+++ b/internal/faker/worker_task.go
@@ -1,11 +1,11 @@
 package faker
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"reflect"
-	"slices"
 	"time"
 
 	"persimmontrail/pkg/descriptor"
