scheduler: urgent work takes its workspace's guarantee from work of less urgent classes

Cause: longer work of the same workspace holds the guarantee for hours, so urgent work that arrives later waits for free capacity, and a job that runs at most once for capacity that no guarantee needs.

Change: when nothing else helps, at most four attempts of less urgent classes lose their guarantee to the urgent job. They go on as borrowed work and are reclaimed only as the cheapest victims. The change is undone when the job still cannot start.

--- a/internal/scheduler/cells.go
+++ b/internal/scheduler/cells.go
@@ -473,6 +473,12 @@
 	}
 }
 
+// claimable reports whether the class of j may claim what j takes of the guarantee of its workspace.
+func (c *Core) claimable(j *job) bool {
+	ws := c.workspaces[j.Workspace]
+	return ws != nil && c.mayClaim(ws, j, ws.claimedBy[j.Class])
+}
+
 // entitled reports whether the job may run on the guarantee of its workspace now.
 func (c *Core) entitled(j *job) bool {
 	ws := c.workspaces[j.Workspace]
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -740,7 +740,8 @@
 // tryStart starts j on its guarantee if that needs no reclaim, else on borrowed capacity, else by reclaim.
 func (c *Core) tryStart(j *job) bool {
 	sig := signature{j.Workspace, j.Class, j.shape}
-	entitled := c.failed[sig] != c.generation && c.entitled(j)
+	claimable := c.failed[sig] != c.generation && c.claimable(j)
+	entitled := claimable && c.entitled(j)
 	if entitled && c.startGuaranteed(j) {
 		return true
 	}
@@ -751,14 +752,14 @@
 	} else if c.startBorrowed(j) {
 		return true
 	}
-	if !entitled {
+	if !claimable {
 		return false
 	}
 	if c.searches >= searchLimit {
 		c.freed = true
 		return false
 	}
-	if c.startByReclaim(j) || c.regroup(j) && c.startByReclaim(j) {
+	if entitled && (c.startByReclaim(j, true) || c.regroup(j) && c.startByReclaim(j, true)) || c.displace(j) {
 		return true
 	}
 	c.searches++
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -50,7 +50,9 @@
 	job  *job
 	// cell, when set, restricts the search to what the plan keeps for this cell and to slack, so that
 	// the placement needs no change of the plan.
-	cell    *cell
+	cell *cell
+	// promote says whether victims are put on unused guarantees of their own workspaces.
+	promote bool
 	workers []*worker
 	victims []victim
 	// touched workers have a gain that must be reset.
@@ -185,9 +187,10 @@
 	own  bool
 }
 
-// startByReclaim makes room for j on the guarantee of its workspace.
-func (c *Core) startByReclaim(j *job) bool {
-	s := &reclaimSearch{core: c, job: j}
+// startByReclaim makes room for j on the guarantee of its workspace. promote says whether victims are put on
+// unused guarantees of their own workspaces.
+func (c *Core) startByReclaim(j *job, promote bool) bool {
+	s := &reclaimSearch{core: c, job: j, promote: promote}
 	defer s.reset()
 	for level := descriptor.LevelWorker; level >= j.Adjacency; level-- {
 		list := c.candidates(s, level)
@@ -297,7 +300,7 @@
 	}
 	victims := s.needed(spans)
 	s.reset()
-	if c.promoteAny(victims) {
+	if s.promote && c.promoteAny(j, victims) {
 		// The victims that are left may be in other places.
 		return c.reclaimIn(s, n)
 	}
@@ -315,11 +318,11 @@
 }
 
 // promoteAny puts victims on unused guarantees of their own workspaces, where they may not be reclaimed. Otherwise
-// they would wait and reclaim in turn, although their guarantee was unused.
-func (c *Core) promoteAny(victims []*attempt) bool {
+// they would wait and reclaim in turn, although their guarantee was unused. The guarantee of the workspace of j is for j.
+func (c *Core) promoteAny(j *job, victims []*attempt) bool {
 	promoted := false
 	for _, a := range victims {
-		if c.entitled(a.job) && c.charge(a) {
+		if a.job.Workspace != j.Workspace && c.entitled(a.job) && c.charge(a) {
 			a.job.note(c.now, a.number, "Guaranteed", "on the guarantee of "+string(a.job.Workspace))
 			promoted = true
 		}
--- a/internal/scheduler/regrant.go
+++ b/internal/scheduler/regrant.go
@@ -112,3 +112,50 @@
 		return l.planned && l.mayHold(j) && l.residual() >= j.accelerators()
 	})
 }
+
+// displacedMost bounds how many attempts lose their guarantee for one job, and with it the time of the search.
+const displacedMost = 4
+
+// displace starts j on the guarantee of its workspace in place of work of less urgent classes. That work goes on
+// as borrowed, and is reclaimed only when it is the cheapest victim.
+func (c *Core) displace(j *job) bool {
+	ws := c.workspaces[j.Workspace]
+	list := c.lessUrgent(ws, j)
+	if len(list) == 0 {
+		return false
+	}
+	saved := c.savePlan(ws)
+	for i, a := range list {
+		c.withdraw(a)
+		if !c.entitled(j) || !c.startByReclaim(j, false) {
+			continue
+		}
+		for _, b := range list[:i+1] {
+			b.job.note(c.now, b.number, "Displaced", "the guarantee is needed for the more urgent "+j.Key().String())
+		}
+		return true
+	}
+	c.restorePlan(saved)
+	return false
+}
+
+// lessUrgent returns the attempts on the guarantee of ws that may be displaced for j, the least urgent class and
+// the latest start first.
+func (c *Core) lessUrgent(ws *workspace, j *job) []*attempt {
+	target := func(k *job) int64 {
+		if class := c.classes[k.Class]; class != nil {
+			return int64(class.FinishWithin)
+		}
+		return 0
+	}
+	var list []*attempt
+	for _, a := range ws.charged {
+		if !a.job.NonIdempotent && !a.claim && target(a.job) > target(j) {
+			list = append(list, a)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(target(b.job), target(a.job)), cmp.Compare(b.startedAt, a.startedAt))
+	})
+	return list[:min(len(list), displacedMost)]
+}
