scheduler: bound the cost of putting victims on their own guarantees

Cause: each victim of a large reclaim was tried on its own guarantee, and each failure planned all unused cells anew.

Change: at most two failures for one search, without planning anew; workers without room are skipped before they are evaluated.

Tried and reverted: comparing at most 256 workers, beginning at another failure domain each time.

--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -11,6 +11,10 @@
 // those where the workspace has its own cells.
 const candidatesTried = 4
 
+// promotionFailures bounds the victims of one search that were tried on their own guarantees in vain, since each
+// try may move many cells.
+const promotionFailures = 2
+
 // taskWeight is the weight of a task without accelerators among victims, in accelerators.
 const taskWeight = 1.0 / 16
 
@@ -230,11 +234,22 @@
 	return unitsBelow(n, l)
 }
 
+// promising reports whether n may have room for one task of the job.
+func (s *reclaimSearch) promising(n *node) bool {
+	if n.worker != nil {
+		return n.worker.room >= int(s.job.need.accelerators)
+	}
+	return s.job.allows(n.region)
+}
+
 // candidates returns the units of a level to try, the cheapest first.
 func (c *Core) candidates(s *reclaimSearch, level descriptor.Level) []candidate {
 	var all []candidate
 	var visit func(n *node)
 	visit = func(n *node) {
+		if !s.promising(n) {
+			return
+		}
 		if n.level != level {
 			for _, k := range n.children {
 				visit(k)
@@ -320,12 +335,24 @@
 // promoteAny puts victims on unused guarantees of their own workspaces, where they may not be reclaimed. Otherwise
 // they would wait and reclaim in turn, although their guarantee was unused. The guarantee of the workspace of j is for j.
 func (c *Core) promoteAny(j *job, victims []*attempt) bool {
-	promoted := false
+	promoted, failed := false, 0
+	replans := c.replans
+	defer func() { c.replans = replans }()
+	// A promotion is not worth planning everything anew.
+	c.replans = replansLimit
 	for _, a := range victims {
-		if a.job.Workspace != j.Workspace && c.entitled(a.job) && c.charge(a) {
-			a.job.note(c.now, a.number, "Guaranteed", "on the guarantee of "+string(a.job.Workspace))
-			promoted = true
+		if failed == promotionFailures {
+			break
+		}
+		if a.job.Workspace == j.Workspace || !c.entitled(a.job) {
+			continue
+		}
+		if !c.charge(a) {
+			failed++
+			continue
 		}
+		a.job.note(c.now, a.number, "Guaranteed", "on the guarantee of "+string(a.job.Workspace))
+		promoted = true
 	}
 	return promoted
 }
