--- a/internal/scheduler/api.go
+++ b/internal/scheduler/api.go
@@ -182,7 +182,7 @@
 	Share float64
 	// Largest is the largest guaranteed or waiting shape.
 	Largest descriptor.Shape
-	// LargeWaiting is the number of waiting jobs with at least LargeJob accelerators.
+	// LargeWaiting is the number of waiting jobs with at least largeJob accelerators.
 	LargeWaiting int
 	// LongestWait and MeanWait are over the large jobs that wait now.
 	LongestWait time.Duration
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -50,7 +50,7 @@
 	shape     *shape
 }
 
-// failed notes the generation in which no guaranteed place was found.
+// signatures holds the generation in which no guaranteed place was found for each of them.
 type signatures map[signature]int
 
 // record is one entry of a job's history in compact form.
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -152,7 +152,7 @@
 	c.capacityFreed()
 }
 
-// release is the end of an attempt or claim on the unit of a reservation.
+// releaseAt is the expected end of an attempt or claim on the unit of a reservation.
 type releaseAt struct {
 	attempt *attempt
 	end     int64
