--- a/internal/commander/load.go
+++ b/internal/commander/load.go
@@ -27,6 +27,7 @@
 	f.DurationVar(&o.Settle, "settle", 3*time.Second, "time between the last start and the measurement")
 	f.DurationVar(&o.Measure, "measure", 10*time.Second, "duration of the measurement")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the order of submissions")
+	f.StringVar(&o.Program, "program", "", "persimmontrail binary of entries and agents, for comparing with another version; empty for this one")
 	output := f.String("output", "table", "output: table or json")
 	report := f.String("report", "", "file for the report in JSON")
 	return &ffcli.Command{
--- a/internal/loader/deployment.go
+++ b/internal/loader/deployment.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"persimmontrail/internal/faker"
@@ -34,11 +35,13 @@
 
 // deployment is one running system with its stand-ins.
 type deployment struct {
-	size      Size
-	store     *faker.Store
-	workers   []*faker.Worker
-	endpoints []*faker.Endpoint
-	entries   []*process
+	size  Size
+	store *faker.Store
+	// storeBytes are the bodies of calls to the store and of its answers.
+	storeBytes atomic.Int64
+	workers    []*faker.Worker
+	endpoints  []*faker.Endpoint
+	entries    []*process
 	// single is the one agent with a process of its own, groups hold the others.
 	single *process
 	groups []*process
@@ -129,7 +132,8 @@
 func (d *deployment) route(w http.ResponseWriter, r *http.Request) {
 	part, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if part == "store" {
-		http.StripPrefix("/store", d.store).ServeHTTP(w, r)
+		d.storeBytes.Add(max(0, r.ContentLength))
+		http.StripPrefix("/store", d.store).ServeHTTP(&countingWriter{ResponseWriter: w, count: &d.storeBytes}, r)
 		return
 	}
 	number, _, _ := strings.Cut(rest, "/")
@@ -145,6 +149,17 @@
 	http.StripPrefix("/"+part+"/"+number, h).ServeHTTP(w, r)
 }
 
+// countingWriter adds the bytes of an answer's body to a counter.
+type countingWriter struct {
+	http.ResponseWriter
+	count *atomic.Int64
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.count.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
 // configuration has guarantees of one accelerator for as many workspaces as a quarter of the fleet allows.
 func (d *deployment) configuration() *descriptor.Configuration {
 	cfg := &descriptor.Configuration{Classes: []descriptor.Class{
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -120,7 +120,7 @@
 		}
 		r.Runs = append(r.Runs, *run)
 	}
-	r.Slopes = slopes(r.Runs)
+	r.Slopes = Slopes(r.Runs)
 	return r, nil
 }
 
--- a/internal/loader/measure.go
+++ b/internal/loader/measure.go
@@ -32,6 +32,8 @@
 	MessageBytes map[string]float64
 	// StoreCalls is the calls a second by kind, as counted by the store.
 	StoreCalls map[string]float64
+	// StoreBytes is the bytes a second of the bodies of calls to the store and of its answers.
+	StoreBytes float64
 	// UrgentStart is from submission to the start at the worker, Propagation from the answer to a change until the
 	// last agent holds the revision.
 	UrgentStart, Propagation Percentiles
@@ -288,6 +290,8 @@
 	usage  map[*process]usage
 	values map[*process]map[string]float64
 	store  map[string]int64
+	// storeBytes is the state of deployment.storeBytes.
+	storeBytes int64
 }
 
 func (t *trial) sample() (*sample, error) {
@@ -307,6 +311,7 @@
 		s.usage[p] = u
 	}
 	s.store = t.store.Stats().Calls
+	s.storeBytes = t.storeBytes.Load()
 	s.at = time.Now()
 	return s, nil
 }
@@ -377,6 +382,7 @@
 	for kind, n := range after.store {
 		r.StoreCalls[kind] = float64(n-before.store[kind]) / seconds
 	}
+	r.StoreBytes = float64(after.storeBytes-before.storeBytes) / seconds
 	t.summarizeTimes(r)
 	t.documents(r)
 }
--- a/internal/loader/slope.go
+++ b/internal/loader/slope.go
@@ -35,6 +35,7 @@
 	{"entry memory MB", func(r *Run) float64 { return r.entry().Memory }},
 	{"entry bytes/s", func(r *Run) float64 { return r.entry().Bytes }},
 	{"store calls/s", func(r *Run) float64 { return sum(r.StoreCalls) }},
+	{"store bytes/s", func(r *Run) float64 { return r.StoreBytes }},
 	{"documents bytes", func(r *Run) float64 {
 		total := 0
 		for _, n := range r.Documents {
@@ -59,8 +60,8 @@
 	return total
 }
 
-// slopes fits each measure over the runs that differ in agents and tasks only. It needs three or more.
-func slopes(runs []Run) []Slope {
+// Slopes fits each measure over the runs that differ in agents and tasks only. It needs three or more.
+func Slopes(runs []Run) []Slope {
 	groups := map[[2]int][]Run{}
 	var order [][2]int
 	for _, r := range runs {
@@ -171,7 +172,8 @@
 	}
 	fmt.Fprintln(w)
 	for _, run := range r.Runs {
-		fmt.Fprintf(w, "%d agents, %d entries, %d tasks:\tstore calls/s %s\tmessage bytes/s %s\n", run.Agents, run.Entries, run.TasksRunning, list(run.StoreCalls), list(run.MessageBytes))
+		fmt.Fprintf(w, "%d agents, %d entries, %d tasks, %d workspaces:\tstore calls/s %s\tstore B/s %.0f\tmessage B/s %s\n",
+			run.Agents, run.Entries, run.TasksRunning, run.Workspaces, list(run.StoreCalls), run.StoreBytes, list(run.MessageBytes))
 	}
 	if len(r.Slopes) > 0 {
 		fmt.Fprintln(w, "\nslope\tentries\tworkspaces\tbase\tper agent\tper task\tlargest error\tstraight")
