--- a/internal/loader/slope.go
+++ b/internal/loader/slope.go
@@ -9,8 +9,9 @@
 	"text/tabwriter"
 )
 
-// straightError is the largest deviation, relative to the range of the values, with which points count as a line.
-const straightError = 0.1
+// straightError is the largest deviation, as a share of the range of the values, with which points count as a line. A
+// square over 50, 150 and 400 deviates by 0.07, so the limit must be lower.
+const straightError = 0.05
 
 // Slope is the plane value = Base + PerAgent*agents + PerTask*tasks that fits runs with the same number of entries and workspaces best.
 type Slope struct {
@@ -19,7 +20,7 @@
 	Base, PerAgent, PerTask float64
 	// LargestError is the largest deviation of a point, as a share of the range of the values.
 	LargestError float64
-	// Straight means that LargestError is at most 0.1.
+	// Straight means that LargestError is at most 0.05.
 	Straight bool
 	Points   int
 }
