Confirm the configuration by its known version

Cause: each entry reads the whole configuration document every 400 ms, 67,520 bytes with 420 workspaces, also when nothing has changed. Entries far from the store do so over the link between regions. Change: keeper.ConfigurationReader asks with the version that it holds and keeps the decoded document on 304.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -37,16 +37,18 @@
 
 	store          *keeper.Store
 	configurations keeper.Configurations
-	claims         keeper.Claims
-	basis          basis
-	peers          peers
-	agents         agentTable
-	router         dispatcher.Router
-	jobs           jobCache
-	duty           schedulingDuty
-	metrics        recorder.Metrics
-	trail          recorder.Trail
-	startedAt      time.Time
+	// reader confirms the configuration.
+	reader    keeper.ConfigurationReader
+	claims    keeper.Claims
+	basis     basis
+	peers     peers
+	agents    agentTable
+	router    dispatcher.Router
+	jobs      jobCache
+	duty      schedulingDuty
+	metrics   recorder.Metrics
+	trail     recorder.Trail
+	startedAt time.Time
 	// writes numbers this entry's changes of the configuration, so that each can be recognised.
 	writes atomic.Int64
 	// leaving is set when a graceful shutdown begins.
@@ -80,6 +82,7 @@
 		e.call = e.client.Call
 	}
 	e.configurations = keeper.Configurations{Store: e.store}
+	e.reader.Store = e.store
 	e.claims = keeper.Claims{Store: e.store}
 	e.router.Region = s.Region
 	e.router.FailureDomain = s.FailureDomain
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -62,7 +62,7 @@
 
 func (e *Entry) confirmByStore(ctx context.Context) {
 	began := e.now()
-	cfg, err := e.configurations.Read(ctx)
+	cfg, err := e.reader.Read(ctx)
 	if err != nil {
 		e.metrics.Count("store_errors_total", "call", "configuration")
 		return
--- a/internal/keeper/configurations.go
+++ b/internal/keeper/configurations.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"persimmontrail/pkg/descriptor"
@@ -49,6 +50,51 @@
 	return decodeConfiguration(data)
 }
 
+// ConfigurationReader reads the configuration again and again. It keeps the last one, so that the document is
+// transferred and decoded only after a change. A reader is used by pointer and safe for concurrent use.
+type ConfigurationReader struct {
+	Store *Store
+
+	mu      sync.Mutex
+	held    *descriptor.Configuration
+	version Version
+}
+
+// Read returns the present configuration, which callers must not change.
+func (r *ConfigurationReader) Read(ctx context.Context) (*descriptor.Configuration, error) {
+	r.mu.Lock()
+	held, version := r.held, r.version
+	r.mu.Unlock()
+	if version == 0 || r.Store.GetChanged == nil {
+		return r.readAll(func() ([]byte, Version, error) { return r.Store.Get(ctx, ConfigurationKey) })
+	}
+	configuration, err := r.readAll(func() ([]byte, Version, error) { return r.Store.GetChanged(ctx, ConfigurationKey, version) })
+	if errors.Is(err, ErrUnchanged) {
+		return held, nil
+	}
+	return configuration, err
+}
+
+func (r *ConfigurationReader) readAll(get func() ([]byte, Version, error)) (*descriptor.Configuration, error) {
+	data, v, err := get()
+	if errors.Is(err, ErrNotFound) {
+		return &descriptor.Configuration{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	configuration, err := decodeConfiguration(data)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v > r.version {
+		r.held, r.version = configuration, v
+	}
+	return configuration, nil
+}
+
 // Watch returns the configuration when its document has another version than after, which is 0 at first.
 func (c Configurations) Watch(ctx context.Context, after Version) (*descriptor.Configuration, Version, error) {
 	data, v, err := c.Store.Watch(ctx, ConfigurationKey, after)
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -39,7 +39,7 @@
 func NewHTTPStoreWith(baseURL string, c *http.Client) *Store {
 	h := &httpStore{base: baseURL, client: c}
 	s := &Store{
-		Get: h.get, Put: h.put, Delete: h.delete, List: h.list, Watch: h.watch,
+		Get: h.get, GetChanged: h.getChanged, Put: h.put, Delete: h.delete, List: h.list, Watch: h.watch,
 		GrantLease: h.grantLease, RenewLease: h.renewLease, RevokeLease: h.revokeLease,
 	}
 	h.store = s
@@ -165,6 +165,18 @@
 	return decodeValue(body)
 }
 
+func (h *httpStore) getChanged(ctx context.Context, key string, known Version) ([]byte, Version, error) {
+	path := keyPath(key) + "?known=" + strconv.FormatInt(int64(known), 10)
+	status, body, err := h.call(ctx, CallGet, http.MethodGet, path, nil, callTimeout)
+	if err != nil {
+		return nil, 0, err
+	}
+	if status == http.StatusNotModified {
+		return nil, 0, ErrUnchanged
+	}
+	return decodeValue(body)
+}
+
 func (h *httpStore) watch(ctx context.Context, key string, after Version) ([]byte, Version, error) {
 	path := fmt.Sprintf("%s?known=%d&wait=%s", keyPath(key), after, watchWait)
 	for {
--- a/internal/keeper/store.go
+++ b/internal/keeper/store.go
@@ -21,6 +21,8 @@
 var (
 	// ErrNotFound means that the key does not exist.
 	ErrNotFound = errors.New("key not found")
+	// ErrUnchanged means that the key still has the version that the caller knows.
+	ErrUnchanged = errors.New("value unchanged")
 	// ErrConflict means that the key has another version than expected.
 	ErrConflict = errors.New("version conflict")
 	// ErrTooLarge means that a document would exceed its limit.
@@ -54,6 +56,9 @@
 type Store struct {
 	// Get returns ErrNotFound for a key that does not exist.
 	Get func(ctx context.Context, key string) (data []byte, v Version, err error)
+	// GetChanged is Get for a caller that knows a version, which is not 0; it returns ErrUnchanged when the key still
+	// has it. Nil means that Get is used instead.
+	GetChanged func(ctx context.Context, key string, known Version) (data []byte, v Version, err error)
 	// Put writes key if it has version expect. It returns ErrConflict, ErrTooLarge or ErrLeaseLost without effect.
 	Put func(ctx context.Context, key string, data []byte, expect Version, lease LeaseID) (Version, error)
 	// Delete removes key if it has version expect.
