Read the job documents by their known versions

Cause: each entry reads and decodes all 16 job documents of its region every 5 s, also when nothing has changed. Change: keeper.JobReader keeps the decoded documents and asks with their versions.

--- a/internal/coordinator/jobs.go
+++ b/internal/coordinator/jobs.go
@@ -34,10 +34,11 @@
 }
 
 func (c *jobCache) loop(ctx context.Context, e *Entry) {
+	reader := &keeper.JobReader{Jobs: keeper.Jobs{Store: e.store, Region: c.region}}
 	t := time.NewTicker(jobRefresh)
 	defer t.Stop()
 	for {
-		c.refresh(ctx, e)
+		c.refresh(ctx, e, reader)
 		wait := t.C
 		if !c.isComplete() {
 			wait = time.After(confirmInterval)
@@ -50,9 +51,8 @@
 	}
 }
 
-func (c *jobCache) refresh(ctx context.Context, e *Entry) {
-	jobs := keeper.Jobs{Store: e.store, Region: c.region}
-	records, err := jobs.All(ctx)
+func (c *jobCache) refresh(ctx context.Context, e *Entry, reader *keeper.JobReader) {
+	records, err := reader.All(ctx)
 	if err != nil {
 		e.metrics.Count("store_errors_total", "call", "jobs")
 		return
--- a/internal/keeper/configurations.go
+++ b/internal/keeper/configurations.go
@@ -65,18 +65,10 @@
 	r.mu.Lock()
 	held, version := r.held, r.version
 	r.mu.Unlock()
-	if version == 0 || r.Store.GetChanged == nil {
-		return r.readAll(func() ([]byte, Version, error) { return r.Store.Get(ctx, ConfigurationKey) })
-	}
-	configuration, err := r.readAll(func() ([]byte, Version, error) { return r.Store.GetChanged(ctx, ConfigurationKey, version) })
+	data, v, err := r.Store.getChanged(ctx, ConfigurationKey, version)
 	if errors.Is(err, ErrUnchanged) {
 		return held, nil
 	}
-	return configuration, err
-}
-
-func (r *ConfigurationReader) readAll(get func() ([]byte, Version, error)) (*descriptor.Configuration, error) {
-	data, v, err := get()
 	if errors.Is(err, ErrNotFound) {
 		return &descriptor.Configuration{}, nil
 	}
--- a/internal/keeper/jobs.go
+++ b/internal/keeper/jobs.go
@@ -194,13 +194,30 @@
 
 // All returns the records of the region in no order. It fails unless every document was read.
 func (j Jobs) All(ctx context.Context) ([]JobRecord, error) {
-	var buckets [jobBuckets]jobBucket
+	r := JobReader{Jobs: j}
+	return r.All(ctx)
+}
+
+// JobReader reads all jobs of a region again and again. It keeps the documents, so that each is transferred and decoded
+// only after a change. A reader is used by pointer and by one goroutine.
+type JobReader struct {
+	Jobs Jobs
+	held [jobBuckets]heldBucket
+}
+
+type heldBucket struct {
+	bucket  jobBucket
+	version Version
+}
+
+// All returns the records of the region in no order. It fails unless every document was read or is unchanged.
+func (r *JobReader) All(ctx context.Context) ([]JobRecord, error) {
 	var errs [jobBuckets]error
 	var wg sync.WaitGroup
 	for first := range uint32(concurrentReads) {
 		wg.Go(func() {
 			for i := first; i < jobBuckets; i += concurrentReads {
-				buckets[i], errs[i] = j.read(ctx, j.document(i))
+				errs[i] = r.held[i].read(ctx, r.Jobs.Store, r.Jobs.document(i))
 			}
 		})
 	}
@@ -209,10 +226,31 @@
 		return nil, err
 	}
 	var all []JobRecord
-	for _, b := range buckets {
-		for _, r := range b.Jobs {
-			all = append(all, r)
+	for i := range r.held {
+		for _, record := range r.held[i].bucket.Jobs {
+			all = append(all, record)
 		}
 	}
 	return all, nil
 }
+
+// read brings the bucket up to date.
+func (h *heldBucket) read(ctx context.Context, s *Store, document string) error {
+	data, v, err := s.getChanged(ctx, document, h.version)
+	if errors.Is(err, ErrUnchanged) {
+		return nil
+	}
+	if errors.Is(err, ErrNotFound) {
+		*h = heldBucket{}
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	b, err := decodeJobs(document, data)
+	if err != nil {
+		return err
+	}
+	*h = heldBucket{bucket: b, version: v}
+	return nil
+}
--- a/internal/keeper/reader_test.go
+++ b/internal/keeper/reader_test.go
@@ -58,6 +58,47 @@
 	assert.ErrorIs(t, err, keeper.ErrUnavailable)
 }
 
+// TestJobReaderSeesEachChange guards against a reader that holds an outdated document, also after its deletion.
+func TestJobReaderSeesEachChange(t *testing.T) {
+	server := httptest.NewServer(&faker.Store{})
+	defer server.Close()
+	store := keeper.NewHTTPStore(server.URL)
+	jobs := keeper.Jobs{Store: store, Region: "qc-sud"}
+	reader := &keeper.JobReader{Jobs: jobs}
+	check := func(want map[descriptor.JobID]keeper.JobState) {
+		t.Helper()
+		records, err := reader.All(t.Context())
+		assert.NilError(t, err)
+		got := map[descriptor.JobID]keeper.JobState{}
+		for _, r := range records {
+			got[r.Job.ID] = r.State
+		}
+		assert.DeepEqual(t, got, want)
+	}
+	check(map[descriptor.JobID]keeper.JobState{})
+	for _, id := range []descriptor.JobID{"a", "b"} {
+		_, err := jobs.Accept(t.Context(), keeper.JobRecord{Job: descriptor.Job{ID: id, Workspace: "w"}})
+		assert.NilError(t, err)
+	}
+	for range 2 {
+		check(map[descriptor.JobID]keeper.JobState{"a": keeper.JobQueued, "b": keeper.JobQueued})
+	}
+	_, err := jobs.Change(t.Context(), descriptor.JobKey{Workspace: "w", Job: "a"}, func(r *keeper.JobRecord) error {
+		r.State = keeper.JobRunning
+		return nil
+	})
+	assert.NilError(t, err)
+	check(map[descriptor.JobID]keeper.JobState{"a": keeper.JobRunning, "b": keeper.JobQueued})
+	documents, err := store.List(t.Context(), "jobs/")
+	assert.NilError(t, err)
+	for key := range documents {
+		_, version, err := store.Get(t.Context(), key)
+		assert.NilError(t, err)
+		assert.NilError(t, store.Delete(t.Context(), key, version))
+	}
+	check(map[descriptor.JobID]keeper.JobState{})
+}
+
 // statusWriter remembers the status of an answer.
 type statusWriter struct {
 	http.ResponseWriter
--- a/internal/keeper/store.go
+++ b/internal/keeper/store.go
@@ -81,6 +81,14 @@
 	writer string
 }
 
+// getChanged is GetChanged, or Get when known is 0 or the store has no GetChanged.
+func (s *Store) getChanged(ctx context.Context, key string, known Version) ([]byte, Version, error) {
+	if known == 0 || s.GetChanged == nil {
+		return s.Get(ctx, key)
+	}
+	return s.GetChanged(ctx, key, known)
+}
+
 // Calls returns how many calls were made, by kind.
 func (s *Store) Calls() map[CallKind]int64 {
 	s.mu.Lock()
