coordinator: an attempt without a sent Start does not end its job

Cause: a job that runs at most once was ended as unknown whenever one member could not say that it never started. An agent that refuses a Hold cannot say so when it saw a higher attempt of an earlier term, or was frozen. After an outage of the store the new scheduler knows no attempt that was never claimed and begins at 1 again. A claim whose answer was lost also stood in the way of the next attempt until its release was written. Ruled out: the agents; they refuse older attempts as they must. Change: the scheduler remembers that it sent no Start; a Start of an earlier term would have left a claim in the store. A claim may replace an earlier one of the same term. Conclusion: unknown is answered only when a Start was sent.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -426,9 +426,10 @@
 		return
 	}
 	g := &gang{
-		ref:   messenger.GangRef{Key: c.Key, Attempt: c.Attempt, Epoch: t.epoch},
-		job:   r.Job,
-		phase: phaseStarting,
+		ref:      messenger.GangRef{Key: c.Key, Attempt: c.Attempt, Epoch: t.epoch},
+		job:      r.Job,
+		phase:    phaseStarting,
+		launched: true,
 	}
 	d.manage(t, g)
 	for _, a := range c.Placement {
@@ -504,6 +505,8 @@
 		d.recordRunning(g)
 		return
 	}
+	// No Start was sent in this term, and one of an earlier term would have left a claim.
+	g.unstarted = g.launched && !errors.Is(err, errStartUncertain) && !errors.Is(err, errAlreadyClaimed)
 	event := scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventNotStarted, Cause: err.Error()}
 	var r refusal
 	if errors.As(err, &r) {
@@ -546,7 +549,7 @@
 		never := d.stopGang(t.ctx, g, grace, event.Cause)
 		d.commands <- func() {
 			if d.running == t {
-				d.settleStop(t, g, wasStarting && never)
+				d.settleStop(t, g, wasStarting && (never || g.unstarted))
 			}
 		}
 	})
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -13,6 +13,7 @@
 	"persimmontrail/internal/keeper"
 	"persimmontrail/internal/messenger"
 	"persimmontrail/internal/registrar"
+	"persimmontrail/internal/scheduler"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -322,6 +323,56 @@
 	})
 }
 
+// Guards against a job that runs at most once and ends as unknown although it was
+// never started: an agent refuses its Hold, because it saw a higher attempt of an
+// earlier term or was frozen, and cannot say that the attempt never started.
+// Fails when settleStart does not set unstarted.
+func TestRefusedHoldEndsNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refuse := func(_ context.Context, _ string, _ messenger.Kind, _, answer any) error {
+			*answer.(*messenger.GangAnswer) = messenger.GangAnswer{Refusal: "attempt is older", State: messenger.TaskStopped}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", refuse)
+		term, _ := activeDuty(t.Context(), e)
+		job := descriptor.Job{ID: "q", Workspace: "atelier", Class: "Preview", Tasks: 1, NonIdempotent: true}
+		record := keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobQueued}
+		e.jobs.put(record)
+		e.duty.launch(term, scheduler.Decision{Key: job.Key(), Attempt: 1, Placement: []scheduler.Assignment{{Worker: "m", Tasks: []int{0}}}}, e.now())
+		for range 2 {
+			synctest.Wait()
+			e.duty.runCommands()
+		}
+		assert.Assert(t, term.gangs[job.Key()] == nil)
+		for _, change := range e.duty.records.take() {
+			_ = change(&record)
+		}
+		assert.Equal(t, record.State, keeper.JobQueued, record.Reason)
+		finishDuty(e)
+	})
+}
+
+// Guards against a claim that stands in the way of the next attempt: its answer
+// was lost, the attempt was given up, and the release is not written yet.
+// Fails when claimAttempt refuses every other attempt.
+func TestClaimOfEarlierAttemptOfTermIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		e := testEntry(m, "entry-a", noCall)
+		jobs := keeper.Jobs{Store: m.store(), Region: "qc-sud"}
+		job := descriptor.Job{ID: "q", Workspace: "atelier", Class: "Preview", Region: "qc-sud", Tasks: 1, NonIdempotent: true}
+		_, err := jobs.Accept(t.Context(), keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobQueued})
+		assert.NilError(t, err)
+		claim := func(attempt descriptor.Attempt, term descriptor.Epoch) error {
+			return e.duty.claimAttempt(t.Context(), &gang{job: job, ref: messenger.GangRef{Key: job.Key(), Attempt: attempt, Epoch: epochOfTerm(term)}})
+		}
+		assert.NilError(t, claim(1, 1))
+		assert.NilError(t, claim(2, 1))
+		assert.ErrorIs(t, claim(3, 2), errAlreadyClaimed)
+		assert.ErrorIs(t, claim(1, 1), errAlreadyClaimed)
+	})
+}
+
 // Guards against a takeover that waits for a store which does not answer: urgent
 // work must start 2.8 s after the scheduler died, of which it is silent for 1.5 s.
 // Fails when the check for acting runs behind a call of the store in one loop.
--- a/internal/coordinator/gang.go
+++ b/internal/coordinator/gang.go
@@ -52,6 +52,10 @@
 	outcome scheduler.Event
 	// cancelStart ends the goroutine that starts the gang.
 	cancelStart context.CancelFunc
+	// launched tells that this scheduler began the attempt; otherwise it was found in reports.
+	launched bool
+	// unstarted tells that certainly no Start was sent.
+	unstarted bool
 }
 
 // refusal is the error of a gang message that an agent refused.
@@ -193,7 +197,8 @@
 		if r.State == keeper.JobEnded || r.State == keeper.JobCancelling {
 			return errAlreadyEnded
 		}
-		if r.State == keeper.JobRunning && (r.Attempt != g.ref.Attempt || r.Epoch != g.ref.Epoch) {
+		// An earlier attempt of the same term certainly did not start, or there would be no other one.
+		if r.State == keeper.JobRunning && (r.Attempt > g.ref.Attempt || r.Epoch != g.ref.Epoch) {
 			return errAlreadyClaimed
 		}
 		r.State = keeper.JobRunning
