coordinator: only members of a gang end it by their reports

Cause: attempts of a job that were never claimed begin at 1 again in a new term. A report of the end of such an attempt by an agent of the earlier term matched the running gang by job and number, and stopped it. Ruled out: the agent; its report was true for the earlier attempt. Change: observeMembers looks only at reports of the gang's members. An agent that saw the number before refuses its Hold, so it is no member. Conclusion: equal numbers of two terms are not taken for one attempt.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -373,6 +373,21 @@
 	})
 }
 
+// Guards against a running gang that is stopped because an agent which takes no
+// part reports the end of an attempt with the same number from an earlier term.
+// Fails when observeMembers does not compare the agent with the members.
+func TestReportOfEarlierTermStopsNoGang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := testEntry(newMemoryStore(), "entry-a", noCall)
+		_, g := activeDuty(t.Context(), e)
+		ended := messenger.TaskReport{Gang: messenger.GangRef{Key: g.ref.Key, Attempt: 1}, Tasks: []int{0}, Members: 1, State: messenger.TaskStopped}
+		e.agents.update(testReport("other", 1, ended), e.now())
+		e.duty.step(t.Context())
+		assert.Equal(t, g.phase, phaseRunning)
+		finishDuty(e)
+	})
+}
+
 // Guards against a takeover that waits for a store which does not answer: urgent
 // work must start 2.8 s after the scheduler died, of which it is silent for 1.5 s.
 // Fails when the check for acting runs behind a call of the store in one loop.
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -16,7 +16,8 @@
 func (d *schedulingDuty) observeMembers(t *termState, a agentState, now time.Time) {
 	for _, r := range a.report.Tasks {
 		g := t.gangs[r.Gang.Key]
-		if g == nil || g.ref.Attempt != r.Gang.Attempt || g.phase != phaseRunning {
+		// An earlier scheduler may have given the same number to an attempt that was never claimed.
+		if g == nil || g.ref.Attempt != r.Gang.Attempt || g.phase != phaseRunning || !g.hasMember(a.report.Agent) {
 			continue
 		}
 		switch r.State {
@@ -40,6 +41,10 @@
 	}
 }
 
+func (g *gang) hasMember(agent string) bool {
+	return slices.ContainsFunc(g.members, func(m member) bool { return m.agent == agent })
+}
+
 func workerOf(a agentState) descriptor.WorkerID {
 	if a.report.Worker == nil {
 		return ""
