coordinator: holds left by a dead scheduler end no job

Cause: a job that runs at most once was ended as unknown when a new scheduler found only some members of an attempt, also when the record showed that no attempt was claimed, so that no Start can have been sent. Ruled out: a start by the former scheduler that the cache does not show yet; the claim of the next attempt then conflicts with its claim in the store. Change: such an attempt counts as not started while the record is queued. Before: TestStoreFaultsLoseNothing/down ended 1 of 64 accepted jobs as unknown ("the gang is not complete after a change of scheduler"); TestIncompleteHoldsEndNoJob fails. After: passes. Conclusion: the claim in the store alone decides whether a job may have run.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -388,6 +388,36 @@
 	})
 }
 
+// Guards against a job that runs at most once and ends as unknown because a dead
+// scheduler left some of its holds, although no attempt was claimed or started.
+// Fails when stopOrphan does not set unstarted.
+func TestIncompleteHoldsEndNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		call := func(_ context.Context, _ string, _ messenger.Kind, _, answer any) error {
+			*answer.(*messenger.GangAnswer) = messenger.GangAnswer{OK: true, State: messenger.TaskStopped}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", call)
+		term, _ := activeDuty(t.Context(), e)
+		job := descriptor.Job{ID: "q", Workspace: "atelier", Class: "Preview", Tasks: 2, NonIdempotent: true}
+		record := keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobQueued}
+		e.jobs.put(record)
+		ref := messenger.GangRef{Key: job.Key(), Attempt: 1, Epoch: epochOfTerm(1)}
+		e.agents.update(testReport("h", 1, messenger.TaskReport{Gang: ref, Tasks: []int{0}, Members: 2, State: messenger.TaskHeld}), e.now())
+		e.duty.step(t.Context())
+		time.Sleep(orphanWait)
+		e.duty.step(t.Context())
+		synctest.Wait()
+		e.duty.runCommands()
+		assert.Assert(t, len(term.orphans) == 0 && term.gangs[job.Key()] == nil)
+		for _, change := range e.duty.records.take() {
+			_ = change(&record)
+		}
+		assert.Equal(t, record.State, keeper.JobQueued, record.Reason)
+		finishDuty(e)
+	})
+}
+
 // Guards against a takeover that waits for a store which does not answer: urgent
 // work must start 2.8 s after the scheduler died, of which it is silent for 1.5 s.
 // Fails when the check for acting runs behind a call of the store in one loop.
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -325,7 +325,10 @@
 		return
 	}
 	d.manage(t, g)
-	g.phase = phaseRunning
+	g.phase = phaseStarting
+	// Without a claim no Start was sent. If the cached record is out of date, the
+	// claim in the store refuses the next attempt.
+	g.unstarted = g.job.NonIdempotent && r.State == keeper.JobQueued
 	d.stop(t, g, 0, stoppedEvent(g, cause))
 }
 
