--- a/cmd/persimmontrail/takeover_test.go
+++ b/cmd/persimmontrail/takeover_test.go
@@ -366,6 +366,7 @@
 			defer func() { <-slots }()
 			job := gangJob(fmt.Sprint("j", i), 1+i%2, 10*time.Minute)
 			job.PerTask.Accelerators = 1
+			job.NonIdempotent = isAtMostOnce(job.Key())
 			err := s.submit(entry, job)
 			if err == nil {
 				_, err = send(http.MethodDelete, entry.http+"/v1/jobs/atelier/"+string(job.ID), nil, new(coordinator.JobView))
