coordinator: a new scheduler waits until the former one has heard of it

Cause: a scheduler whose lease lapsed during an outage of the store goes on until it hears a newer epoch. After the outage another entry acquired the term and decided at once; both started the same job on different workers. Ruled out: agents; each saw only one of the two attempts. Work that runs at most once is kept single by its claim. Change: hearing a newer epoch ends a term before the answer is given, and for at most 1 s a new scheduler waits until no entry heard within two exchanges calls itself the scheduler, and 200 ms more for the reports of its last starts. Conclusion: the wait costs nothing after a death, because the lease lapses later than the last message of the dead scheduler counts.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -25,6 +25,10 @@
 	// attempt: one periodic report and its way. No decision is made meanwhile, and of
 	// the 2.8 s for urgent work the lapse of the lease and its retry take up to 1.5 s.
 	orphanWait = 700 * time.Millisecond
+	// rivalWait is how long decisions wait after another scheduler was heard: its last
+	// starts are reported within that time. rivalLimit bounds the wait in a new term.
+	rivalWait  = 200 * time.Millisecond
+	rivalLimit = time.Second
 	// pauseLimit is the longest gap between two steps of the loop after which the
 	// view still counts. It is what lostLimit leaves above the 30 s after which an
 	// agent that hears no entry stops its tasks.
@@ -63,6 +67,8 @@
 	running   *termState
 	lastSweep time.Time
 	lastStep  time.Time
+	// rivalAt is when another entry that calls itself the scheduler was last known.
+	rivalAt time.Time
 	// listeningSince is when the process started or last resumed after a pause.
 	listeningSince time.Time
 	background     sync.WaitGroup
@@ -220,10 +226,22 @@
 
 // mayDecide reports whether the view is complete enough and starts are permitted.
 func (d *schedulingDuty) mayDecide(t *termState, now time.Time) bool {
+	if d.waitsForRival(t, now) {
+		return false
+	}
 	heardAll := now.Sub(d.listeningSince) > adoptionTime
 	return heardAll && d.entry.jobs.isComplete() && t.revision > 0 && d.entry.basis.permit(now).ValidFor > 0 && len(t.orphans) == 0
 }
 
+// waitsForRival reports whether an earlier scheduler may still start jobs. After an
+// outage of the store its lease has lapsed, but it goes on until it hears the new epoch.
+func (d *schedulingDuty) waitsForRival(t *termState, now time.Time) bool {
+	if d.entry.peers.hearsOtherScheduler(now) {
+		d.rivalAt = now
+	}
+	return now.Sub(t.began) < rivalLimit && !d.rivalAt.IsZero() && now.Sub(d.rivalAt) < rivalWait
+}
+
 func (d *schedulingDuty) beginTerm(ctx context.Context, epoch descriptor.Epoch) {
 	now := d.entry.now()
 	t := &termState{
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -188,7 +188,7 @@
 		e.duty.stop(term, g, 0, stoppedEvent(g, "reclaimed"))
 		synctest.Wait()
 		e.duty.runCommands()
-		assert.Assert(t, e.duty.isOutdated())
+		assert.Assert(t, !e.duty.isActive())
 		assert.Equal(t, e.duty.records.pendingEnds(), 0)
 		finishDuty(e)
 	})
@@ -418,6 +418,27 @@
 	})
 }
 
+// Guards against a job that two schedulers start at once: after an outage of the
+// store the former one goes on until it hears the newer epoch.
+// Fails when waitsForRival is false, and when observeEpoch does not end the term.
+func TestSchedulersDoNotDecideAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := testEntry(newMemoryStore(), "entry-a", noCall)
+		time.Sleep(2 * adoptionTime)
+		term, _ := activeDuty(t.Context(), e)
+		rival := messenger.Peer{Entry: "entry-b", Region: "qc-sud", Scheduler: true, Epoch: epochOfTerm(0)}
+		e.peers.hear(rival)
+		assert.Assert(t, !e.duty.mayDecide(term, e.now()))
+		rival.Scheduler = false
+		e.peers.hear(rival)
+		time.Sleep(rivalWait)
+		assert.Assert(t, e.duty.mayDecide(term, e.now()))
+		answer := e.peers.answer(messenger.Peer{Entry: "entry-b", Region: "qc-sud", Scheduler: true, Epoch: epochOfTerm(2)})
+		assert.Assert(t, !answer.Scheduler)
+		finishDuty(e)
+	})
+}
+
 // Guards against a takeover that waits for a store which does not answer: urgent
 // work must start 2.8 s after the scheduler died, of which it is silent for 1.5 s.
 // Fails when the check for acting runs behind a call of the store in one loop.
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -366,6 +366,19 @@
 	return found.Address, found.Address != ""
 }
 
+// hearsOtherScheduler reports whether another entry of the region called itself the
+// scheduler in the last two exchanges. A dead one's lease lapses later than that.
+func (p *peers) hearsOtherScheduler(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.heard {
+		if h.message.Region == p.entry.settings.Region && h.message.Scheduler && now.Sub(h.at) < 2*peerInterval {
+			return true
+		}
+	}
+	return false
+}
+
 // learn takes over a roster that is newer than the remembered one.
 func (p *peers) learn(roster *registrar.Roster) {
 	p.mu.Lock()
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -39,8 +39,6 @@
 		case e.leaving.Load():
 			d.resign(ctx, &term)
 			return
-		case d.isOutdated():
-			d.deactivate("another entry has a newer epoch")
 		case d.holdsTerm():
 			d.renewTerm(ctx, &term)
 		default:
@@ -171,12 +169,6 @@
 	return d.active
 }
 
-func (d *schedulingDuty) isOutdated() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.active && d.highest > d.epoch
-}
-
 // epochSeen returns the highest epoch of the region that this entry has seen.
 func (d *schedulingDuty) epochSeen() descriptor.Epoch {
 	d.mu.Lock()
@@ -184,10 +176,16 @@
 	return d.highest
 }
 
+// observeEpoch takes over an epoch of the region. It returns after an outdated
+// term has ended, so that the next answer to a peer does not call this entry the scheduler.
 func (d *schedulingDuty) observeEpoch(epoch descriptor.Epoch) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.highest = max(d.highest, epoch)
+	outdated := d.active && d.highest > d.epoch
+	d.mu.Unlock()
+	if outdated {
+		d.deactivate("another entry has a newer epoch")
+	}
 }
 
 // state returns whether the entry schedules, and its epoch.
