--- /dev/null
+++ b/internal/coordinator/request_history_test.go
@@ -0,0 +1,208 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"persimmontrail/internal/enforcer"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+)
+
+// operation is one call of a caller.
+type operation struct {
+	id         descriptor.RequestID
+	begin, end time.Time
+	answer     messenger.ServeAnswer
+	lookup     bool
+}
+
+// history drives two entries and three agents with random faults and records what callers saw.
+type history struct {
+	f       *floor
+	entries []*Entry
+	random  *rand.Rand
+
+	mu     sync.Mutex
+	starts map[descriptor.RequestID][]time.Time
+	log    []operation
+	asked  map[descriptor.RequestID]bool
+}
+
+func (h *history) chance(p float64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.Float64() < p
+}
+
+func (h *history) upTo(d time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Duration(h.random.Int64N(int64(d)))
+}
+
+// network loses messages before and after they arrive and delivers some late, when the caller has given up.
+func (h *history) network(_ string, _ messenger.Kind, next func() (messenger.ServeAnswer, error)) (messenger.ServeAnswer, error) {
+	switch {
+	case h.chance(0.1):
+		return messenger.ServeAnswer{}, messenger.ErrNotSent
+	case h.chance(0.1):
+		_, _ = next()
+		return messenger.ServeAnswer{}, messenger.ErrLost
+	case h.chance(0.1):
+		time.Sleep(h.upTo(3 * time.Second))
+		return next()
+	case h.chance(0.15):
+		delay := h.upTo(5 * time.Second)
+		go func() {
+			time.Sleep(delay)
+			_, _ = next()
+		}()
+		time.Sleep(900 * time.Millisecond)
+		return messenger.ServeAnswer{}, messenger.ErrSilent
+	}
+	return next()
+}
+
+func (h *history) endpoint(_ context.Context, _ string, c enforcer.ServeCall) ([]byte, error) {
+	h.mu.Lock()
+	h.starts[c.Request.ID] = append(h.starts[c.Request.ID], time.Now())
+	h.mu.Unlock()
+	time.Sleep(h.upTo(4 * time.Second))
+	switch {
+	case h.chance(0.1):
+		return nil, enforcer.ErrFailed
+	case h.chance(0.1):
+		return nil, context.DeadlineExceeded
+	}
+	return answerOf(c.Request), nil
+}
+
+func (h *history) operate(id descriptor.RequestID) {
+	time.Sleep(h.upTo(20 * time.Second))
+	e := h.entries[int(h.upTo(time.Duration(len(h.entries))))]
+	o := operation{id: id, begin: time.Now(), lookup: h.chance(0.2)}
+	h.mu.Lock()
+	repeated := h.asked[id]
+	h.asked[id] = true
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), h.upTo(20*time.Second))
+	defer cancel()
+	if o.lookup {
+		a, err := e.lookUpRequest(ctx, "w", id)
+		if err != nil {
+			return
+		}
+		o.answer = a
+	} else {
+		request := descriptor.Request{ID: id, Workspace: "w", Class: "Nesting", Repeated: repeated}
+		o.answer = e.serve(ctx, request, *findClass(e, "Nesting"), false)
+	}
+	o.end = time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.log = append(h.log, o)
+}
+
+// keep renews announcements, permits and reports, restarts agents and switches the store.
+func (h *history) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		down := h.chance(0.1)
+		h.f.mu.Lock()
+		h.f.down = down
+		agents := make([]*enforcer.Enforcer, 0, len(h.f.agents))
+		for _, address := range []string{"a:1", "b:1", "c:1"} {
+			agents = append(agents, h.f.agents[address])
+		}
+		h.f.mu.Unlock()
+		for i, a := range agents {
+			address := []string{"a:1", "b:1", "c:1"}[i]
+			if h.chance(0.03) {
+				h.f.startAgent(address)
+				continue
+			}
+			a.Announce(enforcer.EndpointAnnouncement{ID: descriptor.EndpointID(address), Service: "measurement", URL: "http://x", Slots: 4, Connections: 64})
+			a.SetPermit(messenger.Permit{Revision: 1, ValidFor: 2 * time.Second}, time.Now())
+			a.Tick(time.Now())
+		}
+		for _, e := range h.entries {
+			h.f.report(e)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (h *history) check(t *testing.T, seed uint64) (results map[descriptor.Result]int) {
+	results = map[descriptor.Result]int{}
+	for id, starts := range h.starts {
+		if len(starts) > 1 {
+			t.Errorf("seed %d: %s ran %d times", seed, id, len(starts))
+		}
+	}
+	for _, o := range h.log {
+		results[o.answer.Result]++
+		starts := h.starts[o.id]
+		switch {
+		case o.answer.Result == descriptor.ResultDone && (len(starts) != 1 || string(o.answer.Body) != "w/"+string(o.id)):
+			t.Errorf("seed %d: Done of %s with body %q after %d runs", seed, o.id, o.answer.Body, len(starts))
+		case o.answer.Result == descriptor.ResultNotRun && slices.ContainsFunc(starts, func(s time.Time) bool { return s.Before(o.begin) }):
+			t.Errorf("seed %d: NotRun of %s although it ran before the call: %s", seed, o.id, o.answer.Reason)
+		case o.answer.Result == descriptor.ResultFailed && len(starts) != 1:
+			t.Errorf("seed %d: Failed of %s after %d runs", seed, o.id, len(starts))
+		}
+	}
+	return results
+}
+
+// Guards against a second run, a false NotRun and a wrong or partial answer of
+// requests that run at most once, over random histories: repeated ids at two
+// entries at once and later, messages lost before and after arrival or delivered late,
+// agents started again at the same address, a store that is down or loses
+// answers, and endpoints that fail or cut. NotRun is true when no run began
+// before the call. Fails when switched off, tried one at a time: the check of
+// Serve.Agent in admitRequest, the record in refuse, "%v" of queryErr in
+// attempt, Owner in Claims.Finish, Repeated in serveClaimed,
+// o.Agent in lookUp.
+func TestHistoriesOfRequestsThatRunOnce(t *testing.T) {
+	total := map[descriptor.Result]int{}
+	const seeds = 400
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			h := &history{f: newFloor(), random: rand.New(rand.NewPCG(seed, 1)), starts: map[descriptor.RequestID][]time.Time{}, asked: map[descriptor.RequestID]bool{}}
+			for _, address := range []string{"a:1", "b:1", "c:1"} {
+				h.f.startAgent(address)
+			}
+			h.f.intercept, h.f.serve = h.network, h.endpoint
+			h.f.lost = func() bool { return h.chance(0.1) }
+			h.entries = []*Entry{h.f.entry("e1", "qc-sud"), h.f.entry("e2", "qc-sud")}
+			ctx, cancel := context.WithCancel(t.Context())
+			var calls, keeping sync.WaitGroup
+			keeping.Go(func() { h.keep(ctx) })
+			for i := range 16 {
+				calls.Go(func() { h.operate(descriptor.RequestID(fmt.Sprint("n", i%4))) })
+			}
+			calls.Wait()
+			for _, e := range h.entries {
+				e.serving.Wait()
+			}
+			time.Sleep(30 * time.Second) // Late messages arrive.
+			cancel()
+			keeping.Wait()
+			for r, n := range h.check(t, seed) {
+				total[r] += n
+			}
+		})
+	}
+	t.Logf("%d seeds, results %v", seeds, total)
+	for _, r := range []descriptor.Result{descriptor.ResultDone, descriptor.ResultNotRun, descriptor.ResultFailed, descriptor.ResultUnknown} {
+		if total[r] == 0 {
+			t.Errorf("no call ended as %s; the histories prove little", r)
+		}
+	}
+}
