coordinator: bytes over the link by region and kind

Entries count the bytes of their calls by the region of the peer, as persimmontrail_region_bytes_total.

--- a/cmd/persimmontrail/request_fault_test.go
+++ b/cmd/persimmontrail/request_fault_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -264,3 +265,49 @@
 		})
 	}
 }
+
+// Guards against requests that fail although another region could serve them, and
+// against bytes over the link that nobody counts. Fails without forward in
+// serveWithRetries, or without Group of the entry's client.
+func TestForwardToOtherRegionWhenEndpointsAreGone(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	entry := s.startEntry(onePlace)
+	far := s.startEntry(place{region: "qc-nord", domain: "Saguenay"})
+	s.startMachine("near", onePlace)
+	s.apply(testConfiguration())
+	s.awaitAgents(entry, 1)
+	entries := s.entries
+	s.entries = []*process{far}
+	s.startMachine("far", place{region: "qc-nord", domain: "Saguenay", rack: "Saguenay-1"})
+	s.entries = entries
+	s.awaitAgents(far, 1)
+	assert.NilError(t, s.checkRequest(entry, "Preview", "local"))
+	link := func() map[string]int {
+		bytes := map[string]int{}
+		r, err := http.Get(entry.http + "/metrics")
+		assert.NilError(t, err)
+		defer r.Body.Close()
+		lines := bufio.NewScanner(r.Body)
+		for lines.Scan() {
+			var kind string
+			var n int
+			if _, err := fmt.Sscanf(lines.Text(), "persimmontrail_region_bytes_total{region=\"qc-nord\",kind=%q} %d", &kind, &n); err == nil {
+				bytes[kind] = n
+			}
+		}
+		return bytes
+	}
+	before := link()
+	assert.Equal(t, before["Forward"], 0, "%v", before)
+	s.agents[0].kill()
+	s.eventually(10*time.Second, "requests are forwarded", func() error { return s.checkRequest(entry, "Preview", fmt.Sprint("f", time.Now().UnixNano())) })
+	const requests = 20
+	start := link()["Forward"]
+	for i := range requests {
+		assert.NilError(t, s.checkRequest(entry, "Preview", fmt.Sprint("r", i)))
+	}
+	after := link()
+	t.Logf("bytes over the link by kind %v; %d a forwarded request", after, (after["Forward"]-start)/requests)
+	assert.Assert(t, after["Forward"] > start)
+}
--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -88,7 +88,7 @@
 		e.store = keeper.NewHTTPStore(s.StoreURL)
 	}
 	if e.call == nil {
-		e.client = &messenger.Client{TLS: s.ClientTLS}
+		e.client = &messenger.Client{TLS: s.ClientTLS, Group: e.regionAt}
 		e.call = e.client.Call
 	}
 	e.configurations = keeper.Configurations{Store: e.store}
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -89,6 +89,21 @@
 	for kind, n := range e.client.Bytes() {
 		fmt.Fprintf(w, "persimmontrail_message_bytes_total{kind=%q} %d\n", kind, n)
 	}
+	for region, kinds := range e.client.BytesByGroup() {
+		for kind, n := range kinds {
+			fmt.Fprintf(w, "persimmontrail_region_bytes_total{region=%q,kind=%q} %d\n", region, kind, n)
+		}
+	}
+}
+
+// regionAt returns the region of the entry at an address. Agents are called only in this entry's own region.
+func (e *Entry) regionAt(address string) string {
+	for _, m := range e.peers.others() {
+		if m.Address == address {
+			return string(m.Region)
+		}
+	}
+	return string(e.settings.Region)
 }
 
 // caller is who sent a request.
