--- a/internal/coordinator/request_test.go
+++ b/internal/coordinator/request_test.go
@@ -622,3 +622,75 @@
 	assert.Equal(t, late, 0)
 	assert.Assert(t, done*100 >= allowed*95)
 }
+
+// Guards against previews that wait behind a flood of less urgent requests, and
+// against refusals without a reason or of work that ran. Fails without the order
+// by latest in lane.Less or leastUrgent, or without the bound of the queue in enqueue.
+func TestOverloadRefusesLeastUrgentFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.serve = func(_ context.Context, _ string, c enforcer.ServeCall) ([]byte, error) {
+			time.Sleep(500 * time.Millisecond)
+			return answerOf(c.Request), nil
+		}
+		f.startAgent("a:1")
+		f.startAgent("b:1")
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		overnight := descriptor.Class{Name: "Overnight", FinishWithin: descriptor.Duration(time.Hour), Share: 1, Service: "measurement"}
+		cfg := *e.basis.configuration()
+		cfg.Revision++
+		cfg.Classes = append(cfg.Classes, overnight)
+		e.adopt(&cfg)
+		var keeping sync.WaitGroup
+		keeping.Go(func() {
+			for ctx.Err() == nil {
+				for address, a := range f.agents {
+					a.Announce(enforcer.EndpointAnnouncement{ID: descriptor.EndpointID(address), Service: "measurement", URL: "http://x", Slots: 4, Connections: 64})
+					a.SetPermit(messenger.Permit{Revision: cfg.Revision, ValidFor: 2 * time.Second}, time.Now())
+					a.Tick(time.Now())
+				}
+				f.report(e)
+				time.Sleep(500 * time.Millisecond)
+			}
+		})
+		const flood, previews = 3000, 80
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var slowest time.Duration
+		refused := 0
+		for i := range flood {
+			wg.Go(func() {
+				request := descriptor.Request{ID: descriptor.RequestID(fmt.Sprint("o", i)), Workspace: descriptor.WorkspaceID("wv"[i%2 : i%2+1]), Class: "Overnight"}
+				a := e.serve(ctx, request, overnight, false)
+				mu.Lock()
+				defer mu.Unlock()
+				if a.Result == descriptor.ResultNotRun && ctx.Err() == nil {
+					refused++
+					assert.Check(t, a.Reason != "")
+					assert.Check(t, f.runCount(request.ID) == 0)
+				}
+			})
+		}
+		for i := range previews {
+			time.Sleep(250 * time.Millisecond)
+			wg.Go(func() {
+				began := time.Now()
+				a := e.testServe("Preview", fmt.Sprint("p", i))
+				assert.Check(t, a.Result == descriptor.ResultDone, "%s", a.Reason)
+				mu.Lock()
+				defer mu.Unlock()
+				slowest = max(slowest, time.Since(began))
+			})
+		}
+		time.Sleep(10 * time.Second)
+		cancel()
+		wg.Wait()
+		keeping.Wait()
+		time.Sleep(time.Second) // What still runs at the endpoints ends.
+		t.Logf("slowest of %d previews %v at 8 slots of 500 ms, target 8 s; %d of %d overnight requests refused", previews, slowest, refused, flood)
+		assert.Assert(t, slowest < 8*time.Second)
+		assert.Assert(t, refused >= flood-1024-200, "%d", refused)
+	})
+}
