status and explain: tables that align section by section, causes and metrics for alarms

status lists failure domains and shows for each impossible guarantee since when and why. One alignment over all sections made the columns of one depend on another. explain says what a job wants, how long it took, and on which capacity it runs. New metrics of a region's scheduler: impossible guarantees, free and unusable accelerators, waiting large jobs; of an entry: silent agents, time left for starts.

--- a/internal/commander/caller.go
+++ b/internal/commander/caller.go
@@ -221,36 +221,11 @@
 			if err := client.call(ctx, http.MethodGet, jobPath(workspace, id)+"/explain", nil, &x); err != nil {
 				return err
 			}
-			return client.print(x, func(w io.Writer) { printExplanation(w, x) })
+			return client.printText(x, func(w io.Writer) { printExplanation(w, x) })
 		},
 	}
 }
 
-func printExplanation(w io.Writer, x coordinator.JobExplanation) {
-	fmt.Fprintf(w, "job\t%s\nstate\t%s %s\nreason\t%s\n", x.Job.Job.Key(), x.Job.State, x.Job.Result, x.Job.Reason)
-	if x.Decision == nil {
-		fmt.Fprintf(w, "scheduler\t%s\n", x.Note)
-		return
-	}
-	d := x.Decision
-	fmt.Fprintf(w, "scheduler\t%s, attempt %d, on the guarantee: %v\n", d.State, d.Attempt, d.Guaranteed)
-	if d.Blocker != "" {
-		fmt.Fprintf(w, "blocked by\t%s\n", d.Blocker)
-	}
-	for _, f := range d.Facts {
-		fmt.Fprintf(w, "fact\t%s: %g %s\n", f.Name, f.Value, f.Unit)
-	}
-	for _, r := range d.Remedies {
-		fmt.Fprintf(w, "would change it\t%s\n", r)
-	}
-	if !d.EstimatedStart.IsZero() {
-		fmt.Fprintf(w, "estimated start\t%s (%s)\n", d.EstimatedStart.Format(time.RFC3339), d.Estimate)
-	}
-	for _, r := range d.History {
-		fmt.Fprintf(w, "%s\t%s: %s\n", r.At.Format("15:04:05.000"), r.What, r.Reason)
-	}
-}
-
 // errNotDone is the error of a request whose answer is not Done.
 var errNotDone = errors.New("request not done")
 
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -172,3 +172,14 @@
 	table(w)
 	return w.Flush()
 }
+
+// printText writes v as JSON, or as text that aligns its own columns.
+func (c *printer) printText(v any, text func(w io.Writer)) error {
+	if c.json {
+		return c.print(v, nil)
+	}
+	var b bytes.Buffer
+	text(&b)
+	_, err := c.out.Write(b.Bytes())
+	return err
+}
--- a/internal/commander/operator.go
+++ b/internal/commander/operator.go
@@ -246,35 +246,11 @@
 			if err := client.call(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
 				return err
 			}
-			return client.print(s, func(w io.Writer) { printStatus(w, s) })
+			return client.printText(s, func(w io.Writer) { printStatus(w, s) })
 		},
 	}
 }
 
-func printStatus(w io.Writer, s coordinator.Status) {
-	fmt.Fprintf(w, "entry %s\trevision %d\tstore reached %v\tstarts permitted for %v\n\n", s.Entry, s.Revision, s.StoreReached, s.PermitLeft.Std())
-	fmt.Fprintln(w, "ENTRY\tREGION\tFAILURE DOMAIN\tADDRESS\tLAST RENEWAL")
-	for _, m := range s.Entries {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Entry, m.Region, m.FailureDomain, m.HTTPAddress, m.Renewed.Format("15:04:05"))
-	}
-	fmt.Fprintln(w, "\nAGENT\tSTATE\tFAILURE DOMAIN\tWORKER\tENDPOINT\tTASKS\tREVISION")
-	for _, a := range s.Agents {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", a.Agent, agentCondition(a), a.FailureDomain, workerColumn(a), endpointColumn(a), a.Tasks, a.Revision)
-	}
-	for _, r := range s.Regions {
-		fmt.Fprintf(w, "\nREGION %s\tscheduler %s\tepoch %s\tjobs %d\tgangs %d\n", r.Region, r.Scheduler, r.Epoch, r.Jobs, r.Gangs)
-		f := r.Fragmentation
-		fmt.Fprintf(w, "free accelerators\t%d\tof no use to the largest shape\t%d\tutilisation\t%.0f%%\n", f.Free, f.Unusable, 100*f.Utilisation)
-		fmt.Fprintln(w, "WORKSPACE\tSHAPE\tADJACENCY\tPOSSIBLE\tCAUSE")
-		for _, g := range r.Guarantees {
-			fmt.Fprintf(w, "%s\t%d accelerators\t%s\t%d of %d\t%s\n", g.Workspace, g.Shape.Accelerators, g.Shape.Adjacency, g.Possible, g.Shape.Copies(), g.Cause)
-		}
-	}
-	for _, n := range s.Notes {
-		fmt.Fprintf(w, "\nnote: %s\n", n)
-	}
-}
-
 func agentCondition(a coordinator.AgentStatus) string {
 	if a.Silent {
 		return "Silent"
@@ -322,10 +298,7 @@
 				return err
 			}
 			return client.print(answer, func(w io.Writer) {
-				fmt.Fprintln(w, "TIME\tSUBJECT\tACTION\tREASON\tBY")
-				for _, r := range answer.Records {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.At.Format("15:04:05.000"), r.Subject, r.Action, r.Reason, r.By)
-				}
+				printAudit(w, answer.Records)
 			})
 		},
 	}
--- /dev/null
+++ b/internal/commander/tables.go
@@ -0,0 +1,184 @@
+package commander
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/internal/recorder"
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+)
+
+// section writes a table with columns of its own below a blank line.
+func section(w io.Writer, rows func(w io.Writer)) {
+	fmt.Fprintln(w)
+	table(w, rows)
+}
+
+func table(w io.Writer, rows func(w io.Writer)) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	rows(t)
+	t.Flush()
+}
+
+// printStatus writes to a plain writer, since every section aligns its own columns.
+func printStatus(w io.Writer, s coordinator.Status) {
+	reached := "reached"
+	if !s.StoreReached {
+		reached = "not reached"
+	}
+	fmt.Fprintf(w, "entry %s in %s: revision %d, store %s, %s\n", s.Entry, s.Region, s.Revision, reached, startsOf(s.PermitLeft))
+	section(w, func(w io.Writer) {
+		fmt.Fprintln(w, "ENTRY\tREGION\tFAILURE DOMAIN\tADDRESS\tLAST RENEWAL")
+		for _, m := range s.Entries {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Entry, m.Region, m.FailureDomain, m.HTTPAddress, m.Renewed.Format(time.TimeOnly))
+		}
+	})
+	section(w, func(w io.Writer) { printDomains(w, s) })
+	section(w, func(w io.Writer) {
+		fmt.Fprintln(w, "AGENT\tSTATE\tFAILURE DOMAIN\tWORKER\tENDPOINT\tTASKS\tREVISION")
+		for _, a := range s.Agents {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", a.Agent, agentCondition(a), a.FailureDomain, workerColumn(a), endpointColumn(a), a.Tasks, a.Revision)
+		}
+	})
+	for _, r := range s.Regions {
+		printRegion(w, r)
+	}
+	if len(s.Notes) > 0 {
+		fmt.Fprintln(w)
+	}
+	for _, n := range s.Notes {
+		fmt.Fprintf(w, "note: %s\n", n)
+	}
+}
+
+func startsOf(left descriptor.Duration) string {
+	if left <= 0 {
+		return "no starts are permitted"
+	}
+	return fmt.Sprintf("starts are permitted for %v", left.Std().Round(10*time.Millisecond))
+}
+
+// printDomains counts the agents of each failure domain that this entry hears.
+func printDomains(w io.Writer, s coordinator.Status) {
+	fmt.Fprintln(w, "FAILURE DOMAIN\tREGION\tSTATE\tAGENTS\tSILENT\tACCELERATORS\tTASKS")
+	for _, d := range s.FailureDomains {
+		var agents, silent, accelerators, tasks int
+		for _, a := range s.Agents {
+			if a.FailureDomain != d.Name {
+				continue
+			}
+			agents++
+			tasks += a.Tasks
+			if a.Silent {
+				silent++
+				continue
+			}
+			if a.Worker != nil {
+				accelerators += int(a.Worker.Accelerators)
+			}
+		}
+		if d.Region != s.Region {
+			fmt.Fprintf(w, "%s\t%s\t%s\tseen by the entries of %s only\n", d.Name, d.Region, inOrOut(d.Out), d.Region)
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\n", d.Name, d.Region, inOrOut(d.Out), agents, silent, accelerators, tasks)
+	}
+}
+
+func printRegion(w io.Writer, r coordinator.RegionStatus) {
+	f := r.Fragmentation
+	fmt.Fprintf(w, "\nregion %s: scheduler %s, epoch %s, %d jobs, %d gangs, utilisation %.0f%%\n", r.Region, r.Scheduler, r.Epoch, r.Jobs, r.Gangs, 100*f.Utilisation)
+	fmt.Fprintf(w, "%d accelerators are free, %d of them of no use to the largest shape (%d within one %s)\n", f.Free, f.Unusable, f.Largest.Accelerators, f.Largest.Adjacency)
+	if f.LargeWaiting > 0 {
+		fmt.Fprintf(w, "%d large jobs wait, for %v at most\n", f.LargeWaiting, f.LongestWait.Round(time.Second))
+	}
+	section(w, func(w io.Writer) {
+		fmt.Fprintln(w, "WORKSPACE\tGUARANTEE\tPOSSIBLE\tIN USE\tSINCE\tCAUSE")
+		for _, g := range r.Guarantees {
+			since, cause := "-", "-"
+			if g.Possible < g.Shape.Copies() {
+				since, cause = g.Since.Format(time.TimeOnly), g.Cause
+			}
+			fmt.Fprintf(w, "%s\t%d within one %s\t%d of %d\t%d\t%s\t%s\n", g.Workspace, g.Shape.Accelerators, g.Shape.Adjacency, g.Possible, g.Shape.Copies(), g.InUse, since, cause)
+		}
+	})
+}
+
+func printExplanation(w io.Writer, x coordinator.JobExplanation) {
+	j := x.Job
+	table(w, func(w io.Writer) {
+		fmt.Fprintf(w, "job\t%s\n", j.Job.Key())
+		fmt.Fprintf(w, "wants\t%d tasks of %d accelerators within one %s of %s, class %s\n", j.Job.Tasks, j.Job.PerTask.Accelerators, j.Job.Adjacency, j.Job.Region, j.Job.Class)
+		fmt.Fprintf(w, "state\t%s\n", stateOf(j))
+		if j.Reason != "" {
+			fmt.Fprintf(w, "reason\t%s\n", j.Reason)
+		}
+		if x.Decision != nil {
+			printDecision(w, *x.Decision)
+		} else if x.Note != "" && j.EndedAt == nil {
+			fmt.Fprintf(w, "scheduler\t%s\n", x.Note)
+		}
+	})
+	if x.Decision != nil && len(x.Decision.History) > 0 {
+		section(w, func(w io.Writer) {
+			fmt.Fprintln(w, "TIME\tATTEMPT\tWHAT\tREASON")
+			for _, r := range x.Decision.History {
+				fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", r.At.Format("15:04:05.000"), r.Attempt, r.What, r.Reason)
+			}
+		})
+	}
+	if len(x.Audit) > 0 {
+		section(w, func(w io.Writer) { printAudit(w, x.Audit) })
+	}
+}
+
+func stateOf(j coordinator.JobView) string {
+	text := string(j.State)
+	if j.Result != "" {
+		text += ", " + string(j.Result)
+	}
+	if j.EndedAt != nil {
+		text += fmt.Sprintf(" at %s, %v after acceptance", j.EndedAt.Format(time.TimeOnly), j.EndedAt.Sub(j.Accepted).Round(time.Second))
+	}
+	return text
+}
+
+func printDecision(w io.Writer, d scheduler.Explanation) {
+	on := "on borrowed capacity"
+	if d.Guaranteed {
+		on = "on the guarantee"
+	}
+	switch d.State {
+	case scheduler.StateWaiting, scheduler.StateEnded:
+		fmt.Fprintf(w, "scheduler\t%s after %d attempts\n", d.State, d.Attempt)
+	default:
+		fmt.Fprintf(w, "scheduler\t%s, attempt %d, %s\n", d.State, d.Attempt, on)
+	}
+	if d.Blocker != "" {
+		fmt.Fprintf(w, "blocked by\t%s\n", d.Blocker)
+	}
+	for _, f := range d.Facts {
+		fmt.Fprintf(w, "fact\t%s\n", strings.TrimSpace(fmt.Sprintf("%s: %g %s", f.Name, f.Value, f.Unit)))
+	}
+	for _, r := range d.Remedies {
+		fmt.Fprintf(w, "would help\t%s\n", r)
+	}
+	switch {
+	case !d.EstimatedStart.IsZero():
+		fmt.Fprintf(w, "estimated start\t%s, by %s\n", d.EstimatedStart.Format(time.RFC3339), d.Estimate)
+	case d.Estimate != "":
+		fmt.Fprintf(w, "estimated start\t%s\n", d.Estimate)
+	}
+}
+
+func printAudit(w io.Writer, records []recorder.AuditRecord) {
+	fmt.Fprintln(w, "TIME\tSUBJECT\tACTION\tREASON\tBY")
+	for _, r := range records {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.At.Format("15:04:05.000"), r.Subject, r.Action, r.Reason, r.By)
+	}
+}
--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -178,6 +178,16 @@
 	})
 	e.metrics.Gauge("store_reached", func() float64 { return asNumber(e.basis.storeReached(e.now())) })
 	e.metrics.Gauge("scheduler", func() float64 { return asNumber(e.duty.isActive()) })
+	e.metrics.Gauge("permit_left_seconds", func() float64 { return e.basis.permit(e.now()).ValidFor.Seconds() })
+	e.metrics.Gauge("agents_silent", func() float64 {
+		silent := 0
+		for _, a := range e.agents.all() {
+			if !a.replaced && a.isSilent(e.now()) {
+				silent++
+			}
+		}
+		return float64(silent)
+	})
 	e.metrics.Gauge("agents", func() float64 { return float64(len(e.agents.all())) })
 }
 
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
 	"persimmontrail/pkg/descriptor"
 	"persimmontrail/pkg/validator"
 )
@@ -83,6 +84,7 @@
 
 func (e *Entry) writeMetrics(w io.Writer) {
 	e.metrics.Write(w)
+	e.writeRegionMetrics(w)
 	if e.client == nil {
 		return
 	}
@@ -91,6 +93,42 @@
 	}
 }
 
+// metricsTimeout bounds the wait for the scheduler's figures, which are left out when it is busy for longer.
+const metricsTimeout = 500 * time.Millisecond
+
+// writeRegionMetrics writes what only the scheduler of the region knows.
+func (e *Entry) writeRegionMetrics(w io.Writer) {
+	if !e.duty.isActive() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), metricsTimeout)
+	defer cancel()
+	document, err := e.duty.document(ctx, messenger.StatusQuery{})
+	var s RegionStatus
+	if err != nil || json.Unmarshal(document, &s) != nil {
+		return
+	}
+	impossible := 0
+	for _, g := range s.Guarantees {
+		impossible += g.Shape.Copies() - g.Possible
+	}
+	for _, m := range []struct {
+		name  string
+		value float64
+	}{
+		{"guarantees_impossible", float64(impossible)},
+		{"jobs_known", float64(s.Jobs)},
+		{"gangs", float64(s.Gangs)},
+		{"accelerators_free", float64(s.Fragmentation.Free)},
+		{"accelerators_unusable", float64(s.Fragmentation.Unusable)},
+		{"utilisation", s.Fragmentation.Utilisation},
+		{"large_jobs_waiting", float64(s.Fragmentation.LargeWaiting)},
+		{"large_jobs_longest_wait_seconds", s.Fragmentation.LongestWait.Seconds()},
+	} {
+		fmt.Fprintf(w, "persimmontrail_region_%s{region=%q} %g\n", m.name, s.Region, m.value)
+	}
+}
+
 // caller is who sent a request.
 type caller struct {
 	// workspace is the only one that the caller may act for; empty means any.
--- a/internal/coordinator/jobapi.go
+++ b/internal/coordinator/jobapi.go
@@ -11,6 +11,7 @@
 
 	"persimmontrail/internal/keeper"
 	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/recorder"
 	"persimmontrail/internal/scheduler"
 	"persimmontrail/pkg/descriptor"
 	"persimmontrail/pkg/validator"
@@ -256,7 +257,7 @@
 	// Note says why Decision is absent.
 	Note string `json:",omitempty"`
 	// Audit holds what this entry recorded about the job.
-	Audit any `json:",omitempty"`
+	Audit []recorder.AuditRecord `json:",omitempty"`
 }
 
 // auditLimit bounds the audit records in one answer.
--- a/internal/coordinator/operators.go
+++ b/internal/coordinator/operators.go
@@ -268,6 +268,8 @@
 	Entries    []registrar.Member
 	Agents     []AgentStatus
 	Regions    []RegionStatus
+	// FailureDomains are those of the configuration in force at this entry.
+	FailureDomains []descriptor.FailureDomain
 	// Notes lists what could not be found out.
 	Notes []string `json:",omitempty"`
 }
@@ -282,6 +284,9 @@
 		PermitLeft:   descriptor.Duration(e.basis.permit(now).ValidFor),
 		Entries:      e.peers.members(),
 	}
+	if cfg := e.basis.configuration(); cfg != nil {
+		s.FailureDomains = cfg.FailureDomains
+	}
 	for _, a := range e.agents.all() {
 		if a.replaced {
 			continue
