Operators' page, whose commands a test runs as written

docs/operators.md leads from validate to domain out and back and through outages, replacement, upgrades, alarms, exit codes and errors.

--- /dev/null
+++ b/cmd/persimmontrail/operators_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/coordinator"
+	"persimmontrail/pkg/descriptor"
+)
+
+// shellBlocks are the blocks of a page that operators run against a deployment.
+var shellBlocks = regexp.MustCompile("(?ms)^```sh\n(.*?)^```$")
+
+// Guards against commands of the operators' page that do not work as written.
+func TestCommandsOfOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	assert.NilError(t, err)
+	blocks := shellBlocks.FindAllSubmatch(page, -1)
+	assert.Assert(t, len(blocks) >= 9, "%d blocks", len(blocks))
+	dir := t.TempDir()
+	assert.NilError(t, os.CopyFS(filepath.Join(dir, "examples"), os.DirFS("../../examples")))
+
+	s := newSystem(t)
+	entry := s.startEntry(onePlace)
+	for i := range 3 {
+		s.startMachine(fmt.Sprint("montreal-", i), onePlace)
+	}
+	s.startMachine("sherbrooke", place{region: "qc-sud", domain: "Sherbrooke", rack: "Sherbrooke-1"})
+	s.eventually(10*time.Second, "four machines serve", func() error {
+		var status struct{ Agents []struct{ State string } }
+		if err := get(entry.http+"/v1/status", &status); err != nil {
+			return err
+		}
+		if len(status.Agents) != 4 {
+			return fmt.Errorf("%d agents", len(status.Agents))
+		}
+		return nil
+	})
+	for i, b := range blocks {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		c := exec.CommandContext(ctx, "sh", "-exu", "-c", string(b[1]))
+		c.Dir = dir
+		c.Env = append(os.Environ(), "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"), "PERSIMMONTRAIL_ENTRY="+entry.http)
+		out, err := c.CombinedOutput()
+		cancel()
+		assert.NilError(t, err, "block %d:\n%s\n%s", i+1, b[1], out)
+		if regexp.MustCompile(`(?m)^persimmontrail apply`).Match(b[1]) {
+			s.awaitAgents(entry, 4)
+		}
+	}
+	s.eventually(10*time.Second, "the page's job ends", func() error {
+		var v coordinator.JobView
+		if err := get(entry.http+"/v1/jobs/retouche/check-1", &v); err != nil {
+			return err
+		}
+		if v.Result != descriptor.ResultDone {
+			return fmt.Errorf("%s %s %s", v.State, v.Result, v.Reason)
+		}
+		return nil
+	})
+}
--- a/internal/commander/replay.go
+++ b/internal/commander/replay.go
@@ -37,8 +37,8 @@
 	f.StringVar(&r.policy, "policy", "both", "policy: guaranteed, baseline or both; only both checks the outcomes")
 	f.StringVar(&r.report, "report", "", "file for the report in JSON")
 	f.StringVar(&r.plot, "plot", "", "file for the plots, ending in .png or .svg; needs policy both")
-	f.Float64Var(&r.speed, "speed", 60, "with entry: how many times faster than the trace the jobs are submitted and run")
-	f.DurationVar(&r.drain, "drain", 2*time.Minute, "with entry: how long to wait for ends after the last submission")
+	f.Float64Var(&r.speed, "speed", 0, "submit to the entry, so many times faster than the trace; 0 replays on a virtual clock")
+	f.DurationVar(&r.drain, "drain", 2*time.Minute, "with speed: how long to wait for ends after the last submission")
 	r.client.register(f)
 	f.Lookup("entry").DefValue = ""
 	r.client.entry = ""
@@ -58,11 +58,14 @@
 	if x := filepath.Ext(r.plot); r.plot != "" && x != ".png" && x != ".svg" {
 		fail("plot", "is %q, want a name that ends in .png or .svg", r.plot)
 	}
-	if r.plot != "" && (r.policy != "both" || r.client.entry != "") {
-		fail("plot", "needs policy both and no entry")
+	if r.plot != "" && (r.policy != "both" || r.speed != 0) {
+		fail("plot", "needs policy both and no speed")
 	}
-	if r.speed <= 0 {
-		fail("speed", "is %g, want more than 0", r.speed)
+	if r.speed < 0 {
+		fail("speed", "is %g, want 0 or more", r.speed)
+	}
+	if r.speed > 0 && r.client.entry == "" {
+		fail("entry", "must be set with speed")
 	}
 	if r.drain <= 0 {
 		fail("drain", "is %v, want more than 0s", r.drain)
@@ -81,11 +84,12 @@
 		Name:       "replay",
 		ShortUsage: "persimmontrail replay [flags]",
 		ShortHelp:  "Replay a trace and check the outcomes that it states.",
-		LongHelp: `Without --entry, the trace is replayed on a virtual clock against the scheduler's decisions, with its
+		LongHelp: `Without --speed, the trace is replayed on a virtual clock against the scheduler's decisions, with its
 fleet and its faults. Every missed outcome is named and the exit code is 1.
 
-With --entry, or PERSIMMONTRAIL_ENTRY, the jobs and cancellations of the trace are submitted to a running deployment, faster by
---speed, with ids of their own; run times are divided by --speed too. Only what can be seen from outside is
+With --entry and --speed, the jobs and cancellations of the trace are submitted to a running deployment,
+faster by --speed, with ids of their own; run times are divided by --speed too. --entry alone, which
+PERSIMMONTRAIL_ENTRY may set for other commands, submits nothing. Only what can be seen from outside is
 checked: each job is accepted, or refused as not run; each accepted job ends within --drain after the last
 submission; a job ends as Done unless it was cancelled or fails wherever it starts; and, at speed 1 only,
 the p99 completion time of the class that the trace names. Faults, configuration changes and the fleet of
@@ -104,7 +108,7 @@
 			if err != nil {
 				return err
 			}
-			if r.client.entry != "" {
+			if r.speed > 0 {
 				return p.replayAgainst(ctx, client, trace, r)
 			}
 			return p.replayOffline(ctx, client, trace, r)
--- a/internal/commander/replay_test.go
+++ b/internal/commander/replay_test.go
@@ -6,8 +6,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/replayer"
+	"persimmontrail/pkg/descriptor"
 )
 
 // runProgram runs one command in process.
@@ -45,7 +49,7 @@
 
 // Guards against settings errors that are shown one at a time.
 func TestReplayShowsAllSettingsErrors(t *testing.T) {
-	code, _, stderr := runProgram(t, "replay", "--policy", "best", "--plot", "x.pdf", "--speed", "0", "--output", "yaml")
+	code, _, stderr := runProgram(t, "replay", "--policy", "best", "--plot", "x.pdf", "--speed", "-1", "--output", "yaml")
 	assert.Equal(t, code, ExitUsage)
 	for _, field := range []string{"trace:", "policy:", "plot:", "speed:", "output:"} {
 		assert.Assert(t, strings.Contains(stderr, field), "%s is missing in:\n%s", field, stderr)
@@ -65,3 +69,37 @@
 	assert.Equal(t, code, ExitOK, stderr)
 	assert.Assert(t, strings.Contains(stdout, "unchecked"), stdout)
 }
+
+// Guards against a replay that submits to the entry that PERSIMMONTRAIL_ENTRY names for other commands.
+func TestReplaySubmitsOnlyWithSpeed(t *testing.T) {
+	e := startEntry(t, nil)
+	e.apply(nil)
+	day := filepath.Join(t.TempDir(), "day.jsonl")
+	code, _, stderr := runProgram(t, "trace", "generate", "--deployment", "destovka", "--out", day)
+	assert.Equal(t, code, ExitOK, stderr)
+	t.Setenv("PERSIMMONTRAIL_ENTRY", e.url)
+	before := e.state()
+	code, _, stderr = runProgram(t, "replay", "--trace", day, "--policy", "guaranteed")
+	assert.Equal(t, code, ExitOK, stderr)
+	assert.Equal(t, e.state(), before)
+}
+
+// Guards against a replay at an entry that passes although the entry runs nothing.
+func TestReplayAtEntryNamesJobsWithoutEnd(t *testing.T) {
+	e := startEntry(t, nil)
+	e.apply(nil)
+	cfg := exampleConfiguration(t)
+	job := descriptor.Job{ID: "j1", Workspace: "obec", Class: "Survey", Region: "Morava", Tasks: 1, PerTask: descriptor.Resources{Accelerators: 1}, DeclaredRunTime: descriptor.Duration(time.Second)}
+	trace := replayer.Trace{
+		Header: replayer.Header{
+			Format: replayer.Format, Name: "no workers", Duration: descriptor.Duration(time.Minute), Configuration: cfg,
+			Fleet: []descriptor.Worker{{ID: "w1", Rack: "r1", FailureDomain: "Brno", Region: "Morava", Accelerators: 8}},
+		},
+		Events: []replayer.Event{{Kind: replayer.JobArrives, Job: &job, RunTime: descriptor.Duration(time.Second)}},
+	}
+	var b bytes.Buffer
+	assert.NilError(t, replayer.Write(&b, trace))
+	code, stdout, stderr := e.run("replay", "--trace", file(t, b.String()), "--speed", "100", "--drain", "100ms")
+	assert.Equal(t, code, ExitFailed, stdout)
+	assert.Assert(t, strings.Contains(stderr, "accepted without an end: obec/j1"), stderr)
+}
