validator, recorder: tests, a fuzz target, and limits that it asked for

A guarantee with a huge Count or a huge expected fleet kept validate, and an entry, busy without end and took memory for each copy. All copies and all workers of a configuration are now bounded at several times the largest deployment planned.

--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,45 @@
+package recorder
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a trail that grows without bound, loses the newest records, or returns them out of order.
+func TestTrailKeepsTheNewest(t *testing.T) {
+	var trail Trail
+	assert.Equal(t, len(trail.Find("", 10)), 0)
+	const n = TrailLength + 100
+	for i := range n {
+		trail.Add(AuditRecord{Subject: fmt.Sprint("job ", i%2), Action: fmt.Sprint(i)})
+	}
+	assert.Equal(t, len(trail.Find("", n)), TrailLength)
+	found := trail.Find("job 1", 2)
+	assert.Equal(t, len(found), 2)
+	assert.Equal(t, found[0].Action, fmt.Sprint(n-3))
+	assert.Equal(t, found[1].Action, fmt.Sprint(n-1))
+	assert.Equal(t, trail.Find("", n)[0].Action, fmt.Sprint(n-TrailLength))
+}
+
+// Guards against metrics without the labels that alarms select by.
+func TestMetricsCarryLabels(t *testing.T) {
+	var m Metrics
+	m.Count("decisions_total", "kind", "start")
+	m.Count("decisions_total", "kind", "start")
+	m.Gauge("agents", func() float64 { return 7 })
+	m.Completion("job", "obec", "Survey", "Done", 3*time.Second)
+	var b bytes.Buffer
+	m.Write(&b)
+	for _, want := range []string{
+		`persimmontrail_decisions_total{kind="start"} 2`,
+		"persimmontrail_agents 7",
+		`persimmontrail_job_duration_seconds_count{workspace="obec",class="Survey",result="Done"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(b.String(), want+"\n"), "%s is missing", want)
+	}
+}
--- a/pkg/validator/configuration.go
+++ b/pkg/validator/configuration.go
@@ -65,6 +65,7 @@
 	if len(cfg.Workspaces) > MaxWorkspaces {
 		c.failf("Workspaces", "lists %d, at most %d are allowed", len(cfg.Workspaces), MaxWorkspaces)
 	}
+	copies := 0
 	seen := map[descriptor.WorkspaceID]bool{}
 	for i, w := range cfg.Workspaces {
 		field := fmt.Sprintf("Workspaces[%d]", i)
@@ -81,13 +82,18 @@
 		}
 		for j, s := range w.Guarantees {
 			c.shape(fmt.Sprintf("%s.Guarantees[%d]", field, j), s, cfg)
+			// Capped, so that the sum cannot overflow.
+			copies = min(copies+min(s.Copies(), MaxCopies+1), MaxCopies+1)
 		}
 	}
+	if copies > MaxCopies {
+		c.failf("Workspaces", "guarantee more than %d shapes together", MaxCopies)
+	}
 }
 
 func (c *checker) shape(field string, s descriptor.Shape, cfg *descriptor.Configuration) {
-	if s.Accelerators < 1 {
-		c.failf(field+".Accelerators", "is %d, want at least 1", s.Accelerators)
+	if s.Accelerators < 1 || s.Accelerators > MaxAccelerators {
+		c.failf(field+".Accelerators", "is %d, want 1 to %d", s.Accelerators, MaxAccelerators)
 	}
 	if s.Count < 0 {
 		c.failf(field+".Count", "is %d, want 0 or more", s.Count)
@@ -119,6 +125,7 @@
 }
 
 func (c *checker) fleet(cfg *descriptor.Configuration) {
+	workers := 0
 	for i, r := range cfg.Fleet {
 		field := fmt.Sprintf("Fleet[%d]", i)
 		if regionOf(cfg, r.FailureDomain) == "" {
@@ -126,7 +133,16 @@
 		}
 		if r.Racks < 1 || r.Workers < 1 || r.Accelerators < 0 {
 			c.failf(field, "wants at least 1 rack, 1 worker and 0 accelerators, has %d, %d and %d", r.Racks, r.Workers, r.Accelerators)
+			continue
+		}
+		if r.Accelerators > MaxAccelerators {
+			c.failf(field+".Accelerators", "is %d, at most %d are allowed", r.Accelerators, MaxAccelerators)
 		}
+		// Capped, so that neither product nor sum can overflow.
+		workers = min(workers+min(r.Racks, MaxWorkers+1)*min(r.Workers, MaxWorkers+1), MaxWorkers+1)
+	}
+	if workers > MaxWorkers {
+		c.failf("Fleet", "lists more than %d workers", MaxWorkers)
 	}
 }
 
--- a/pkg/validator/validator.go
+++ b/pkg/validator/validator.go
@@ -26,6 +26,13 @@
 	// MaxWorkspaces and MaxClasses bound the configuration document.
 	MaxWorkspaces = 2_000
 	MaxClasses    = 200
+	// MaxCopies bounds the copies of all guaranteed shapes together, and MaxWorkers the
+	// expected fleet. The check that guarantees fit takes time and memory for each of
+	// them; both are several times the largest deployment planned.
+	MaxCopies  = 20_000
+	MaxWorkers = 20_000
+	// MaxAccelerators bounds the accelerators of one shape and of one worker.
+	MaxAccelerators = 1_000_000
 	// MaxFinishWithin is the longest target of a class.
 	MaxFinishWithin = 30 * 24 * time.Hour
 )
--- /dev/null
+++ b/pkg/validator/validator_test.go
@@ -0,0 +1,166 @@
+package validator
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+func example(t testing.TB, name string) *descriptor.Configuration {
+	t.Helper()
+	data, err := os.ReadFile("../../examples/" + name)
+	assert.NilError(t, err)
+	cfg, err := ParseConfiguration(data)
+	assert.NilError(t, err)
+	return cfg
+}
+
+// fieldsOf returns the fields that an error names.
+func fieldsOf(err error) string {
+	var faults Errors
+	var fields []string
+	errors.As(err, &faults)
+	for _, f := range faults {
+		fields = append(fields, f.Field)
+	}
+	return strings.Join(fields, " ")
+}
+
+// Guards against a fault of a configuration that is accepted, or that is reported for another field.
+func TestConfigurationFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*descriptor.Configuration)
+		want   string
+	}{
+		{"valid", func(*descriptor.Configuration) {}, ""},
+		{"no failure domain", func(c *descriptor.Configuration) { c.FailureDomains, c.Fleet = nil, nil }, "FailureDomains"},
+		{"failure domain twice", func(c *descriptor.Configuration) { c.FailureDomains[1].Name = "Brno" }, "FailureDomains[1].Name Fleet[2].FailureDomain Fleet[3].FailureDomain"},
+		{"name with a slash", func(c *descriptor.Configuration) { c.Workspaces[0].Name = "a/b" }, "Workspaces[0].Name"},
+		{"name with a space", func(c *descriptor.Configuration) { c.Classes[0].Name = "a b" }, "Classes[0].Name"},
+		{"name too long", func(c *descriptor.Configuration) {
+			c.Workspaces[0].Name = descriptor.WorkspaceID(strings.Repeat("x", MaxName+1))
+		}, "Workspaces[0].Name"},
+		{"workspace twice", func(c *descriptor.Configuration) { c.Workspaces[1].Name = c.Workspaces[0].Name }, "Workspaces[1].Name"},
+		{"class twice", func(c *descriptor.Configuration) { c.Classes[1].Name = c.Classes[0].Name }, "Classes[1].Name"},
+		{"hash too short", func(c *descriptor.Configuration) { c.Workspaces[0].TokenHash = "00" }, "Workspaces[0].TokenHash"},
+		{"hash is no hex", func(c *descriptor.Configuration) { c.Workspaces[0].TokenHash = strings.Repeat("z", 64) }, "Workspaces[0].TokenHash"},
+		{"empty shape", func(c *descriptor.Configuration) { c.Workspaces[0].Guarantees[0].Accelerators = 0 }, "Workspaces[0].Guarantees[0].Accelerators"},
+		{"negative count", func(c *descriptor.Configuration) { c.Workspaces[0].Guarantees[0].Count = -1 }, "Workspaces[0].Guarantees[0].Count"},
+		{"unknown region", func(c *descriptor.Configuration) { c.Workspaces[0].Guarantees[0].Region = "Cechy" }, "Workspaces[0].Guarantees[0].Region"},
+		{"share 0", func(c *descriptor.Configuration) { c.Classes[0].Share = 0 }, "Classes[0].Share"},
+		{"share above 1", func(c *descriptor.Configuration) { c.Classes[0].Share = 1.01 }, "Classes[0].Share"},
+		{"no target", func(c *descriptor.Configuration) { c.Classes[0].FinishWithin = 0 }, "Classes[0].FinishWithin"},
+		{"target too long", func(c *descriptor.Configuration) {
+			c.Classes[0].FinishWithin = descriptor.Duration(MaxFinishWithin + time.Second)
+		}, "Classes[0].FinishWithin"},
+		{"fleet in an unknown failure domain", func(c *descriptor.Configuration) { c.Fleet[0].FailureDomain = "Plzen" }, "Fleet[0].FailureDomain"},
+		{"rack without workers", func(c *descriptor.Configuration) { c.Fleet[0].Workers = 0 }, "Fleet[0]"},
+		{"shape larger than a worker", func(c *descriptor.Configuration) { c.Workspaces[3].Guarantees[0].Accelerators = 9 }, "Workspaces"},
+		{"guarantees that fit alone only", func(c *descriptor.Configuration) { c.Workspaces[3].Guarantees[0].Count = 13 }, "Workspaces Workspaces"},
+		{"failure domain out does not matter", func(c *descriptor.Configuration) { c.FailureDomains[0].Out = true }, ""},
+		{"more shapes than can be checked", func(c *descriptor.Configuration) { c.Workspaces[3].Guarantees[0].Count = math.MaxInt }, "Workspaces"},
+		{"more workers than can be checked", func(c *descriptor.Configuration) { c.Fleet[0].Racks, c.Fleet[0].Workers = math.MaxInt, math.MaxInt }, "Fleet"},
+		{"more accelerators than can be counted", func(c *descriptor.Configuration) {
+			c.Workspaces[3].Guarantees[0].Accelerators, c.Fleet[0].Accelerators = math.MaxInt, math.MaxInt
+		}, "Workspaces[3].Guarantees[0].Accelerators Fleet[0].Accelerators"},
+		{"several faults at once", func(c *descriptor.Configuration) { c.Classes[0].Share, c.Workspaces[0].Name = 2, "" }, "Workspaces[0].Name Classes[0].Share"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cfg := example(t, "destovka.json")
+			c.change(cfg)
+			err := Configuration(cfg, nil)
+			assert.Equal(t, fieldsOf(err), c.want, "%v", err)
+			assert.Equal(t, errors.Is(err, ErrInvalid), c.want != "")
+		})
+	}
+}
+
+// Guards against guarantees that are checked against the expected fleet only.
+func TestGuaranteesAreCheckedAgainstKnownWorkers(t *testing.T) {
+	cfg := example(t, "destovka.json")
+	workers := ExpectedWorkers(cfg)
+	assert.Equal(t, len(workers), 11)
+	cfg.Fleet = nil
+	assert.NilError(t, Configuration(cfg, workers))
+	assert.Equal(t, fieldsOf(Configuration(cfg, workers[:3]))[:len("Workspaces")], "Workspaces")
+}
+
+// Guards against a fault of a job or a request that is accepted.
+func TestJobAndRequestFaults(t *testing.T) {
+	cfg := example(t, "destovka.json")
+	job := func(change func(*descriptor.Job)) error {
+		j := &descriptor.Job{
+			ID: "j", Workspace: "obec", Class: "Survey", Region: "Čechy", Tasks: descriptor.MaxGang,
+			PerTask: descriptor.Resources{Accelerators: 1}, DeclaredRunTime: 1, Payload: make([]byte, MaxPayload),
+		}
+		change(j)
+		return Job(j, cfg)
+	}
+	request := func(change func(*descriptor.Request)) error {
+		r := &descriptor.Request{ID: "r", Workspace: "obec", Class: "Quote", Body: make([]byte, MaxBody)}
+		change(r)
+		return Request(r, cfg)
+	}
+	for want, err := range map[string]error{
+		"Job valid":            job(func(*descriptor.Job) {}),
+		"Job ID":               job(func(j *descriptor.Job) { j.ID = "" }),
+		"Job Workspace Class":  job(func(j *descriptor.Job) { j.Workspace, j.Class = "x", "y" }),
+		"Job Region":           job(func(j *descriptor.Job) { j.Region = "Cechy" }),
+		"Job Tasks":            job(func(j *descriptor.Job) { j.Tasks = descriptor.MaxGang + 1 }),
+		"Job DeclaredRunTime":  job(func(j *descriptor.Job) { j.DeclaredRunTime = 0 }),
+		"Job Payload":          job(func(j *descriptor.Job) { j.Payload = make([]byte, MaxPayload+1) }),
+		"Job PerTask":          job(func(j *descriptor.Job) { j.PerTask = descriptor.Resources{} }),
+		"Job PerTask.Memory":   job(func(j *descriptor.Job) { j.PerTask.Memory = -1 }),
+		"Request valid":        request(func(*descriptor.Request) {}),
+		"Request ID":           request(func(r *descriptor.Request) { r.ID = "a\n" }),
+		"Request Class":        request(func(r *descriptor.Request) { r.Class = "Survey" }),
+		"Request Body":         request(func(r *descriptor.Request) { r.Body = make([]byte, MaxBody+1) }),
+		"Request ID Workspace": request(func(r *descriptor.Request) { r.ID, r.Workspace = "", "x" }),
+	} {
+		_, fields, _ := strings.Cut(want, " ")
+		if fields == "valid" {
+			assert.NilError(t, err, want)
+			continue
+		}
+		assert.Equal(t, fieldsOf(err), fields, want)
+	}
+}
+
+// FuzzParseConfiguration guards against input that stops the process, and against
+// an accepted configuration that changes when it is written and read again.
+func FuzzParseConfiguration(f *testing.F) {
+	for _, name := range []string{"beaulieu.json", "destovka.json"} {
+		data, err := os.ReadFile("../../examples/" + name)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte(`{"Classes":[{"FinishWithin":"1h","Share":1e-300}]} {}`))
+	f.Add([]byte(`{"Workspaces":[{"Name":"a","Guarantees":[{"Accelerators":1,"Count":9223372036854775807}]}],"FailureDomains":[{"Name":"d","Region":"r"}],"Fleet":[{"FailureDomain":"d","Racks":1,"Workers":1,"Accelerators":1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cfg, err := ParseConfiguration(data)
+		if err != nil {
+			assert.Assert(t, errors.Is(err, ErrInvalid), "%v", err)
+			return
+		}
+		if Configuration(cfg, nil) != nil {
+			return
+		}
+		written, err := json.Marshal(cfg)
+		assert.NilError(t, err)
+		again, err := ParseConfiguration(written)
+		assert.NilError(t, err)
+		// Compared as written, because an empty list and a missing one mean the same.
+		rewritten, err := json.Marshal(again)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rewritten), string(written))
+	})
+}
