--- a/internal/coordinator/jobapi.go
+++ b/internal/coordinator/jobapi.go
@@ -245,6 +245,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.audit("job "+k.String(), "cancelled", "by its caller")
 	e.announceJob(record)
 	return viewOf(record), nil
 }
--- a/internal/coordinator/operators.go
+++ b/internal/coordinator/operators.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.audit("configuration", fmt.Sprintf("revision %d", stored.Revision), "by "+by)
 	return e.spread(ctx, stored), nil
 }
 
