--- a/internal/coordinator/operators.go
+++ b/internal/coordinator/operators.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.audit("configuration", fmt.Sprintf("revision %d", stored.Revision), "by "+by)
 	return e.spread(ctx, stored), nil
 }
 
@@ -268,6 +269,8 @@
 	Entries    []registrar.Member
 	Agents     []AgentStatus
 	Regions    []RegionStatus
+	// FailureDomains are those of the configuration in force at this entry.
+	FailureDomains []descriptor.FailureDomain
 	// Notes lists what could not be found out.
 	Notes []string `json:",omitempty"`
 }
@@ -282,6 +285,9 @@
 		PermitLeft:   descriptor.Duration(e.basis.permit(now).ValidFor),
 		Entries:      e.peers.members(),
 	}
+	if cfg := e.basis.configuration(); cfg != nil {
+		s.FailureDomains = cfg.FailureDomains
+	}
 	for _, a := range e.agents.all() {
 		if a.replaced {
 			continue
