--- a/cmd/persimmontrail/request_fault_test.go
+++ b/cmd/persimmontrail/request_fault_test.go
@@ -311,3 +311,60 @@
 	t.Logf("bytes over the link by kind %v; %d a forwarded request", after, (after["Forward"]-start)/requests)
 	assert.Assert(t, after["Forward"] > start)
 }
+
+// Guards against a second run and a lost outcome of a request that runs at most
+// once, when a process is killed or frozen while the request runs and the caller
+// repeats it at another entry. Fails without the use of mine in serveClaimed.
+func TestRequestOutlivesKilledAndFrozenProcesses(t *testing.T) {
+	cases := map[string]struct {
+		victim func(s *system) *process
+		fault  func(p *process)
+		want   descriptor.Result
+	}{
+		"entry killed": {func(s *system) *process { return s.entries[0] }, func(p *process) { p.kill() }, descriptor.ResultDone},
+		"entry frozen": {func(s *system) *process { return s.entries[0] }, func(p *process) { p.signal(syscall.SIGSTOP) }, descriptor.ResultDone},
+		"agent killed": {func(s *system) *process { return s.agents[0] }, func(p *process) { p.kill() }, descriptor.ResultUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t)
+			s.startEntry(onePlace)
+			s.startEntry(onePlace)
+			s.startMachine("worker-0", onePlace)
+			s.apply(testConfiguration())
+			for _, e := range s.entries {
+				s.awaitAgents(e, 1)
+			}
+			request := descriptor.Request{ID: "n", Workspace: "atelier", Class: "Nesting", Body: []byte(`{"ServiceTime":"2s"}`)}
+			first := make(chan struct{})
+			go func() {
+				defer close(first)
+				var a coordinator.RequestAnswer
+				_, _ = send(http.MethodPost, s.entries[0].http+"/v1/requests", request, &a)
+			}()
+			s.eventually(5*time.Second, "the request runs", func() error {
+				if s.requestRuns("n") == 0 {
+					return errors.New("not yet")
+				}
+				return nil
+			})
+			p := c.victim(s)
+			c.fault(p)
+			request.Repeated = true
+			var a coordinator.RequestAnswer
+			_, err := send(http.MethodPost, s.entries[1].http+"/v1/requests", request, &a)
+			assert.NilError(t, err)
+			assert.Equal(t, a.Result, c.want, a.Reason)
+			assert.Assert(t, c.want != descriptor.ResultDone || bytes.Equal(a.Body, faker.ExpectedAnswer("atelier", "n", request.Body)))
+			if name == "entry frozen" {
+				p.signal(syscall.SIGCONT)
+				<-first
+			}
+			var later coordinator.RequestAnswer
+			assert.NilError(t, get(s.entries[1].http+"/v1/requests/atelier/n", &later))
+			assert.Equal(t, later.Result, c.want, later.Reason)
+			assert.Equal(t, s.requestRuns("n"), 1)
+		})
+	}
+}
