--- a/internal/coordinator/request_test.go
+++ b/internal/coordinator/request_test.go
@@ -694,3 +694,43 @@
 		assert.Assert(t, refused >= flood-1024-200, "%d", refused)
 	})
 }
+
+// Guards against a caller that gets no answer within its deadline, or a false
+// one, when an endpoint never answers, and against a slow store that is waited for without bound.
+// Fails without the deadline in serve, or without claimTimeout.
+func TestSilentEndpointAndSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFloor()
+		f.serve = func(ctx context.Context, _ string, _ enforcer.ServeCall) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		f.startAgent("a:1")
+		e := f.entry("e1", "qc-sud")
+		defer e.serving.Wait()
+		for class, limit := range map[string]time.Duration{"Preview": 8 * time.Second, "Nesting": 20 * time.Second} {
+			began := time.Now()
+			f.agents["a:1"].SetPermit(messenger.Permit{Revision: 1, ValidFor: 2 * time.Second}, began)
+			f.agents["a:1"].Announce(enforcer.EndpointAnnouncement{ID: "a", Service: "measurement", URL: "http://x", Slots: 4, Connections: 64})
+			f.report(e)
+			a := e.testServe(class, class)
+			assert.Equal(t, a.Result, descriptor.ResultUnknown, a.Reason)
+			assert.Assert(t, time.Since(began) <= limit, "%v", time.Since(began))
+			assert.Equal(t, f.runCount(descriptor.RequestID(class)), 1)
+		}
+		put := e.store.Put
+		e.store.Put = func(ctx context.Context, key string, data []byte, expect keeper.Version, l keeper.LeaseID) (keeper.Version, error) {
+			time.Sleep(5 * time.Second)
+			return put(ctx, key, data, expect, l)
+		}
+		time.Sleep(time.Second)
+		f.agents["a:1"].Announce(enforcer.EndpointAnnouncement{ID: "a", Service: "measurement", URL: "http://x", Slots: 4, Connections: 64})
+		f.report(e)
+		began := time.Now()
+		a := e.testServe("Nesting", "slow")
+		assert.Equal(t, a.Result, descriptor.ResultNotRun, a.Reason)
+		assert.Assert(t, time.Since(began) <= claimTimeout, "%v", time.Since(began))
+		time.Sleep(time.Minute)
+		assert.Equal(t, f.runCount("slow"), 0)
+	})
+}
