messenger: a call on a connection that is just being closed uses a new one

Cause: a connection found silent is closed before its context ends. A call in between chose it, could open no stream and failed with ErrNotSent. Seen as a failure of TestSilentConnection and TestSilentAddress under load. Ruled out: a slow server; the request had not left. Change: such a call, of which nothing was sent, is made once more on a new connection.

--- a/internal/commander/load.go
+++ b/internal/commander/load.go
@@ -90,7 +90,7 @@
 		ShortHelp:  "Run the agents of a trial that share a process; load starts it.",
 		LongHelp: `Reads the group of agents as JSON from standard input. Example:
   persimmontrail load agents < group.json`,
-		FlagSet:    newFlags("agents"),
-		Exec:       func(ctx context.Context, _ []string) error { return loader.RunGroup(ctx, p.Stdin, p.Stdout) },
+		FlagSet: newFlags("agents"),
+		Exec:    func(ctx context.Context, _ []string) error { return loader.RunGroup(ctx, p.Stdin, p.Stdout) },
 	}
 }
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -257,14 +257,38 @@
 }
 
 func (p *peer) call(ctx context.Context, kind Kind, message []byte) ([]byte, error) {
+	data, q, err := p.callOnce(ctx, kind, message)
+	if q == nil || !errors.Is(err, errNoStream) || ctx.Err() != nil {
+		return data, err
+	}
+	// The connection was being closed, for example because another call found it
+	// silent, and its context had not ended yet. Nothing was sent.
+	p.discard(q)
+	data, _, err = p.callOnce(ctx, kind, message)
+	return data, err
+}
+
+// callOnce returns the QUIC connection that it used, if any.
+func (p *peer) callOnce(ctx context.Context, kind Kind, message []byte) ([]byte, *quicConn, error) {
 	q, err := p.connection(ctx)
 	if err != nil {
-		return nil, notSent(err)
+		return nil, nil, notSent(err)
 	}
 	if q == nil {
-		return p.callTCP(ctx, kind, message)
+		data, err := p.callTCP(ctx, kind, message)
+		return data, nil, err
+	}
+	data, err := q.call(ctx, kind, message)
+	return data, q, err
+}
+
+// discard forgets a connection that takes no more calls.
+func (p *peer) discard(q *quicConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.quic == q {
+		p.quic = nil
 	}
-	return q.call(ctx, kind, message)
 }
 
 // connection returns the QUIC connection, or nil when TCP is to be used. It dials when there is neither.
--- a/internal/messenger/client_quic.go
+++ b/internal/messenger/client_quic.go
@@ -93,12 +93,15 @@
 	return err != nil && !refused
 }
 
+// errNoStream means that a connection that was open a moment ago takes no more calls.
+var errNoStream = errors.New("no stream on the connection")
+
 func (q *quicConn) call(ctx context.Context, kind Kind, message []byte) ([]byte, error) {
 	q.begin()
 	defer q.end()
 	st, err := q.conn.OpenStreamSync(ctx)
 	if err != nil {
-		return nil, notSent(q.explain(ctx, err))
+		return nil, notSent(fmt.Errorf("%w: %w", errNoStream, q.explain(ctx, err)))
 	}
 	cancel := context.AfterFunc(ctx, func() { resetStream(st) })
 	defer cancel()
