coordinator: a refused Commit of an unclaimed attempt does not end its job

Cause: an attempt that a new scheduler adopted between hold and commit ended a job that runs at most once as unknown when a member refused Commit, also when the record showed no claim, so that no Start can have been sent. Ruled out: a claim that the cache does not show; it refuses the next attempt. Change: an adopted attempt of a queued job is treated as one of this term. Before: TestNoStartInRemovedDomainUnderFaults/both ended 1 of 181 accepted jobs as unknown ("Commit: attempt is older ... or has ended"); TestRefusedCommitEndsNoUnclaimedJob fails. After: passes. Conclusion: unknown needs a claim in the store or a sent Start.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -444,10 +444,10 @@
 		return
 	}
 	g := &gang{
-		ref:      messenger.GangRef{Key: c.Key, Attempt: c.Attempt, Epoch: t.epoch},
-		job:      r.Job,
-		phase:    phaseStarting,
-		launched: true,
+		ref:       messenger.GangRef{Key: c.Key, Attempt: c.Attempt, Epoch: t.epoch},
+		job:       r.Job,
+		phase:     phaseStarting,
+		unclaimed: true,
 	}
 	d.manage(t, g)
 	for _, a := range c.Placement {
@@ -524,7 +524,7 @@
 		return
 	}
 	// No Start was sent in this term, and one of an earlier term would have left a claim.
-	g.unstarted = g.launched && !errors.Is(err, errStartUncertain) && !errors.Is(err, errAlreadyClaimed)
+	g.unstarted = g.unclaimed && !errors.Is(err, errStartUncertain) && !errors.Is(err, errAlreadyClaimed)
 	event := scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventNotStarted, Cause: err.Error()}
 	var r refusal
 	if errors.As(err, &r) {
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -352,6 +352,36 @@
 	})
 }
 
+// Guards against a job that runs at most once and ends as unknown because a member
+// of an adopted, unclaimed attempt refuses Commit: its hold lapsed while its agent
+// was frozen. Fails when adoptGang does not set unclaimed.
+func TestRefusedCommitEndsNoUnclaimedJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refuse := func(_ context.Context, _ string, _ messenger.Kind, _, answer any) error {
+			*answer.(*messenger.GangAnswer) = messenger.GangAnswer{Refusal: "attempt has ended", State: messenger.TaskStopped}
+			return nil
+		}
+		e := testEntry(newMemoryStore(), "entry-a", refuse)
+		term, _ := activeDuty(t.Context(), e)
+		job := descriptor.Job{ID: "q", Workspace: "atelier", Class: "Preview", Tasks: 1, NonIdempotent: true}
+		record := keeper.JobRecord{Job: job, Accepted: e.now(), State: keeper.JobQueued}
+		e.jobs.put(record)
+		ref := messenger.GangRef{Key: job.Key(), Attempt: 1, Epoch: epochOfTerm(1)}
+		e.agents.update(testReport("h", 1, messenger.TaskReport{Gang: ref, Tasks: []int{0}, Members: 1, State: messenger.TaskHeld}), e.now())
+		e.duty.step(t.Context())
+		assert.Assert(t, term.gangs[job.Key()] != nil)
+		for range 2 {
+			synctest.Wait()
+			e.duty.runCommands()
+		}
+		for _, change := range e.duty.records.take() {
+			_ = change(&record)
+		}
+		assert.Equal(t, record.State, keeper.JobQueued, record.Reason)
+		finishDuty(e)
+	})
+}
+
 // Guards against a claim that stands in the way of the next attempt: its answer
 // was lost, the attempt was given up, and the release is not written yet.
 // Fails when claimAttempt refuses every other attempt.
--- a/internal/coordinator/gang.go
+++ b/internal/coordinator/gang.go
@@ -52,8 +52,8 @@
 	outcome scheduler.Event
 	// cancelStart ends the goroutine that starts the gang.
 	cancelStart context.CancelFunc
-	// launched tells that this scheduler began the attempt; otherwise it was found in reports.
-	launched bool
+	// unclaimed tells that no claim of the job was known when this term took up the attempt.
+	unclaimed bool
 	// unstarted tells that certainly no Start was sent.
 	unstarted bool
 }
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -309,6 +309,7 @@
 		return
 	}
 	g.phase = phaseStarting
+	g.unclaimed = r.State == keeper.JobQueued
 	d.startInBackground(t, g, d.startHeldGang)
 }
 
