--- a/cmd/persimmontrail/fault_test.go
+++ b/cmd/persimmontrail/fault_test.go
@@ -16,6 +16,7 @@
 
 // Guards against a shutdown that cuts requests of callers.
 func TestGracefulStopOfEntryCutsNothing(t *testing.T) {
+	t.Parallel()
 	s := smallSystem(t)
 	entry := s.entries[0]
 	const calls = 8
@@ -54,6 +55,7 @@
 // Guards against an outage of the store that stops idempotent requests or what
 // runs, and against a refusal as not run of work that ran.
 func TestStoreOutage(t *testing.T) {
+	t.Parallel()
 	s := smallSystem(t)
 	entry := s.entries[0]
 	assert.NilError(t, s.submit(entry, gangJob("running", 3, 6*time.Second)))
@@ -106,6 +108,7 @@
 // Guards against starts in a failure domain that is out, also on an agent that
 // was paused when it was taken out and wakes with its old permit.
 func TestNoStartInRemovedDomainAfterPause(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.startEntry(onePlace)
 	sherbrooke := place{region: "qc-sud", domain: "Sherbrooke", rack: "Sherbrooke-1"}
--- a/cmd/persimmontrail/path_test.go
+++ b/cmd/persimmontrail/path_test.go
@@ -90,6 +90,7 @@
 // Guards the whole path of separate processes: a request from caller to endpoint
 // and back, a gang of 3 on adjacent accelerators, and a refusal that is true.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	s := smallSystem(t)
 	entry := s.entries[0]
 	assert.NilError(t, s.checkRequest(entry, "Preview", "r1"))
@@ -115,6 +116,7 @@
 
 // Guards against a check of the whole path that passes while a link is cut.
 func TestCutLinkBreaksThePath(t *testing.T) {
+	t.Parallel()
 	cuts := map[string]func(s *system) []*process{
 		"entry":    func(s *system) []*process { return s.entries },
 		"agent":    func(s *system) []*process { return s.agents },
