--- a/cmd/persimmontrail/takeover_test.go
+++ b/cmd/persimmontrail/takeover_test.go
@@ -106,8 +106,8 @@
 		}
 	}
 	s.t.Logf("%d jobs accepted, results %v", len(ids), results)
-	assert.Equal(s.t, results[descriptor.ResultDone], len(ids))
 	s.checkRuns()
+	assert.Equal(s.t, results[descriptor.ResultDone], len(ids))
 }
 
 // isAtMostOnce tells the jobs of load that run at most once.
