coordinator: a new scheduler reads the records of at-most-once jobs before it launches them

Cause: after an outage the new scheduler launched a job from a record read before the former scheduler had claimed it; both used attempt 1, so stopping the second could stop the first. Change: such jobs wait for a read that began in the own term.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -1,8 +1,11 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,6 +91,8 @@
 	attempted map[descriptor.JobKey]bool
 	// orphans are reported attempts without a gang.
 	orphans map[descriptor.JobKey]*orphan
+	// deferred are jobs that run at most once and whose records were not read in this term yet.
+	deferred map[descriptor.JobKey]bool
 	// awaited are jobs that run at most once, were started in an earlier term and are not reported yet.
 	awaited map[descriptor.JobKey]bool
 	began   time.Time
@@ -252,6 +257,7 @@
 		attempted: map[descriptor.JobKey]bool{},
 		orphans:   map[descriptor.JobKey]*orphan{},
 		awaited:   map[descriptor.JobKey]bool{},
+		deferred:  map[descriptor.JobKey]bool{},
 		began:     now,
 	}
 	t.core.Region = d.entry.settings.Region
@@ -340,8 +346,20 @@
 	for _, r := range d.entry.jobs.takeChanged() {
 		d.syncJob(t, r, now)
 	}
+	if len(t.deferred) == 0 || !d.entry.jobs.readSince(t.began) {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(t.deferred), compareKeys)
+	clear(t.deferred)
+	for _, k := range keys {
+		if r, ok := d.entry.jobs.get(k); ok {
+			d.syncJob(t, r, now)
+		}
+	}
 }
 
+func compareKeys(a, b descriptor.JobKey) int { return cmp.Compare(a.String(), b.String()) }
+
 func (d *schedulingDuty) syncJob(t *termState, r keeper.JobRecord, now time.Time) {
 	k := r.Job.Key()
 	switch {
@@ -381,6 +399,11 @@
 	if t.revision == 0 {
 		return
 	}
+	if r.Job.NonIdempotent && !r.Accepted.After(t.began) && !d.entry.jobs.readSince(t.began) {
+		// The former scheduler may have claimed it after the record was read here last.
+		t.deferred[k] = true
+		return
+	}
 	t.submitted[k] = true
 	if r.Job.NonIdempotent && r.State == keeper.JobRunning {
 		// It was started in an earlier term and must not run again: its agents
--- a/internal/coordinator/jobs.go
+++ b/internal/coordinator/jobs.go
@@ -31,6 +31,8 @@
 	changed map[descriptor.JobKey]bool
 	// complete is set once all records were read.
 	complete bool
+	// readAt is when the last read of all records began.
+	readAt time.Time
 }
 
 func (c *jobCache) loop(ctx context.Context, e *Entry) {
@@ -52,6 +54,7 @@
 }
 
 func (c *jobCache) refresh(ctx context.Context, e *Entry, reader *keeper.JobReader) {
+	began := e.now()
 	records, err := reader.All(ctx)
 	if err != nil {
 		e.metrics.Count("store_errors_total", "call", "jobs")
@@ -63,9 +66,19 @@
 		c.put(r)
 	}
 	c.forgetUnlisted(listed, e.now())
+	c.mu.Lock()
+	c.readAt = began
+	c.mu.Unlock()
 	e.duty.wake()
 }
 
+// readSince reports whether all records were read after a moment.
+func (c *jobCache) readSince(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readAt.After(at)
+}
+
 // put takes over a record unless a later one is known.
 func (c *jobCache) put(r keeper.JobRecord) {
 	c.mu.Lock()
