coordinator: a claimed attempt that never started is queued again by a new scheduler

Cause: after an outage the former scheduler had claimed attempts without sending Start, and the new one could not tell; besides, a job that waited for the read of its record was not open for adoption, so its reported result was dropped (two more tests failed by that). Ruled out: lost reports; all agents were heard. Change: such jobs count as submitted; an agent says NeverStarted of an attempt that this run of it knows without a start, and when all agents say so the claim is released.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -20,8 +20,8 @@
 // agentState is the last known state of one agent.
 type agentState struct {
 	report messenger.Report
-	// heardAt is when the last report arrived.
-	heardAt time.Time
+	// firstHeard and heardAt are when the first and the last report arrived.
+	firstHeard, heardAt time.Time
 	// replaced is set when another run of an agent reports for the same worker.
 	replaced bool
 }
@@ -41,6 +41,8 @@
 	byWorker map[descriptor.WorkerID]string
 	// changed holds the agents whose tasks were reported since the last call of takeChanged.
 	changed map[string]bool
+	// forgottenHeard is when the last report of any forgotten agent arrived.
+	forgottenHeard time.Time
 }
 
 // update stores a report. It returns the complete report and false when the
@@ -64,7 +66,7 @@
 		r = mergeReports(a.report, r)
 	}
 	if a == nil {
-		a = &agentState{}
+		a = &agentState{firstHeard: now}
 		t.agents[r.Agent] = a
 	}
 	a.report = r
@@ -200,6 +202,30 @@
 			delete(t.byWorker, a.report.Worker.ID)
 		}
 		gone = append(gone, n)
+		if a.heardAt.After(t.forgottenHeard) {
+			t.forgottenHeard = a.heardAt
+		}
 	}
 	return gone
 }
+
+// allHeardSince returns the agents of all workers, and whether this is complete:
+// every agent that was there at the given moment, or came later, is heard now
+// and has not been replaced. A report that is due is allowed for by silentLimit.
+func (t *agentTable) allHeardSince(at, now time.Time) ([]agentState, bool) {
+	list := t.all()
+	t.mu.Lock()
+	complete := t.forgottenHeard.Before(at)
+	t.mu.Unlock()
+	members := list[:0]
+	for _, a := range list {
+		if a.heardAt.Before(at) {
+			continue
+		}
+		complete = complete && !a.isSilent(now) && !a.replaced && a.firstHeard.Before(at)
+		if a.report.Worker != nil {
+			members = append(members, a)
+		}
+	}
+	return members, complete
+}
--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -91,13 +89,16 @@
 	attempted map[descriptor.JobKey]bool
 	// orphans are reported attempts without a gang.
 	orphans map[descriptor.JobKey]*orphan
-	// deferred are jobs that run at most once and whose records were not read in this term yet.
+	// deferred are submitted jobs that run at most once and whose records were not read in this
+	// term yet. The core does not know them; a reported attempt is adopted all the same.
 	deferred map[descriptor.JobKey]bool
 	// awaited are jobs that run at most once, were started in an earlier term and are not reported yet.
 	awaited map[descriptor.JobKey]bool
-	began   time.Time
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// asking are those about which the agents were asked.
+	asking map[descriptor.JobKey]bool
+	began  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func (d *schedulingDuty) wake() {
@@ -257,6 +258,7 @@
 		attempted: map[descriptor.JobKey]bool{},
 		orphans:   map[descriptor.JobKey]*orphan{},
 		awaited:   map[descriptor.JobKey]bool{},
+		asking:    map[descriptor.JobKey]bool{},
 		deferred:  map[descriptor.JobKey]bool{},
 		began:     now,
 	}
@@ -349,10 +351,11 @@
 	if len(t.deferred) == 0 || !d.entry.jobs.readSince(t.began) {
 		return
 	}
-	keys := slices.SortedFunc(maps.Keys(t.deferred), compareKeys)
+	keys := sortedKeys(t.deferred)
 	clear(t.deferred)
 	for _, k := range keys {
-		if r, ok := d.entry.jobs.get(k); ok {
+		if r, ok := d.entry.jobs.get(k); ok && t.gangs[k] == nil {
+			delete(t.submitted, k)
 			d.syncJob(t, r, now)
 		}
 	}
@@ -401,6 +404,7 @@
 	}
 	if r.Job.NonIdempotent && !r.Accepted.After(t.began) && !d.entry.jobs.readSince(t.began) {
 		// The former scheduler may have claimed it after the record was read here last.
+		t.submitted[k] = true
 		t.deferred[k] = true
 		return
 	}
--- a/internal/coordinator/gang.go
+++ b/internal/coordinator/gang.go
@@ -193,6 +193,7 @@
 // claimAttempt makes the attempt durable before any member of a non-idempotent job starts.
 func (d *schedulingDuty) claimAttempt(ctx context.Context, g *gang) error {
 	jobs := keeper.Jobs{Store: d.entry.store, Region: d.entry.settings.Region}
+	now := d.entry.now()
 	r, err := jobs.Change(ctx, g.ref.Key, func(r *keeper.JobRecord) error {
 		if r.State == keeper.JobEnded || r.State == keeper.JobCancelling {
 			return errAlreadyEnded
@@ -204,6 +205,7 @@
 		r.State = keeper.JobRunning
 		r.Attempt = g.ref.Attempt
 		r.Epoch = g.ref.Epoch
+		r.ClaimedAt = now
 		return nil
 	})
 	if err != nil {
@@ -241,7 +243,7 @@
 }
 
 func (d *schedulingDuty) stopMember(ctx context.Context, g *gang, m member, grace time.Duration, cause string) (neverStarted bool) {
-	request := messenger.Stop{Gang: g.ref, CheckpointFirst: grace > 0, Grace: grace, Cause: cause}
+	request := messenger.Stop{Gang: g.ref, CheckpointFirst: grace > 0, Grace: grace, Cause: cause, Agent: m.agent}
 	for ctx.Err() == nil {
 		stop, cancel := context.WithTimeout(ctx, stepTimeout+grace)
 		var a messenger.GangAnswer
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -112,12 +112,7 @@
 	for _, name := range d.entry.agents.forget(now) {
 		d.entry.router.Remove(name)
 	}
-	if now.Sub(t.began) > lostLimit {
-		for k := range t.awaited {
-			delete(t.awaited, k)
-			d.end(t, k, descriptor.ResultUnknown, "the job runs at most once, was started, and no agent reports it")
-		}
-	}
+	d.sweepAwaited(t, now)
 }
 
 func (d *schedulingDuty) stopGangsAt(t *termState, a agentState) {
--- a/internal/enforcer/adopt.go
+++ b/internal/enforcer/adopt.go
@@ -34,7 +34,7 @@
 	for _, t := range tasks {
 		n := e.attempts[t.Key].number
 		if Accountable(t) && t.Attempt > n {
-			e.attempts[t.Key] = seenAttempt{number: t.Attempt, at: now}
+			e.attempts[t.Key] = seenAttempt{number: t.Attempt, at: now, called: true}
 		}
 	}
 	for _, t := range tasks {
--- a/internal/enforcer/enforcer.go
+++ b/internal/enforcer/enforcer.go
@@ -159,6 +159,8 @@
 type seenAttempt struct {
 	number descriptor.Attempt
 	at     time.Time
+	// called is set when a start of the attempt may have reached the worker.
+	called bool
 }
 
 func (e *Enforcer) now() time.Time {
--- a/internal/enforcer/gang.go
+++ b/internal/enforcer/gang.go
@@ -401,6 +401,10 @@
 		return TaskStart{}, fmt.Errorf("%w: %w", ErrNotRun, err)
 	}
 	t.called = true
+	if s := e.attempts[g.ref.Key]; s.number == g.ref.Attempt {
+		s.called = true
+		e.attempts[g.ref.Key] = s
+	}
 	t.leaseEnd = e.permitEnd.Add(Lease + leaseMargin)
 	return TaskStart{
 		ID:                 t.id,
@@ -500,10 +504,7 @@
 		e.stopGang(older, messenger.TaskStopped, s.Cause, 0, now)
 	}
 	if g == nil {
-		if e.mayRemember(s.Gang.Key) { // A full memory refuses a late Hold as well.
-			e.remember(s.Gang, now)
-		}
-		return nil, messenger.GangAnswer{OK: true, State: messenger.TaskStopped, Epoch: e.epoch}, nil
+		return nil, e.stopUnknown(s, now), nil
 	}
 	grace := time.Duration(0)
 	if s.CheckpointFirst {
@@ -514,6 +515,23 @@
 	return g, a, err
 }
 
+// stopUnknown answers a Stop of an attempt without a gang, and remembers the
+// attempt, so that a late Hold of it is refused. It says NeverStarted when this
+// run of the agent is meant and has not sent a start of the attempt.
+func (e *Enforcer) stopUnknown(s messenger.Stop, now time.Time) messenger.GangAnswer {
+	seen := e.attempts[s.Gang.Key]
+	a := messenger.GangAnswer{OK: true, State: messenger.TaskStopped, Epoch: e.epoch}
+	if seen.number == s.Gang.Attempt {
+		a.NeverStarted = s.Agent == e.Agent && !seen.called
+		return a
+	}
+	if e.mayRemember(s.Gang.Key) { // A full memory refuses a late Hold as well.
+		e.remember(s.Gang, now)
+	}
+	a.NeverStarted = s.Agent == e.Agent
+	return a
+}
+
 // stopGang begins to stop g, which then ends in state final. A grace above 0
 // asks for a checkpoint first. Repeating it has no effect.
 func (e *Enforcer) stopGang(g *gang, final messenger.TaskState, cause string, grace time.Duration, now time.Time) {
@@ -653,7 +671,9 @@
 func (e *Enforcer) forgetGangs(now time.Time) {
 	for key, g := range e.gangs {
 		if g.state.Ended() && (g.acknowledged || now.Sub(g.endedAt) > remember) {
-			e.attempts[key] = seenAttempt{number: e.attempts[key].number, at: now}
+			s := e.attempts[key]
+			s.at = now
+			e.attempts[key] = s
 			delete(e.gangs, key)
 		}
 	}
--- a/internal/keeper/jobs.go
+++ b/internal/keeper/jobs.go
@@ -46,8 +46,10 @@
 	// Attempt and Epoch are those of the latest start that was recorded.
 	Attempt descriptor.Attempt
 	Epoch   descriptor.Epoch
-	Result  descriptor.Result `json:",omitempty"`
-	Reason  string            `json:",omitempty"`
+	// ClaimedAt is when a job that runs at most once was claimed for its attempt, by the clock of the scheduler.
+	ClaimedAt time.Time         `json:",omitzero"`
+	Result    descriptor.Result `json:",omitempty"`
+	Reason    string            `json:",omitempty"`
 	// EndedAt is set when State is JobEnded; the record is deleted 24 h later.
 	EndedAt time.Time
 }
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -165,6 +165,8 @@
 	CheckpointFirst bool
 	Grace           time.Duration
 	Cause           string
+	// Agent is the run of the agent that is meant. Another run cannot say that an attempt never started.
+	Agent string
 }
 
 // GangAnswer answers Hold, Commit, Start, Confirm and Stop.
