--- /dev/null
+++ b/internal/enforcer/stop_test.go
@@ -0,0 +1,60 @@
+package enforcer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/internal/messenger"
+	"persimmontrail/pkg/descriptor"
+)
+
+// Guards against a proof that an attempt never started from an agent that
+// cannot know, or that has sent a start: a job that runs at most once would run
+// again. Fails without the check of Stop.Agent, and without seenAttempt.called.
+func TestNeverStarted(t *testing.T) {
+	ref := messenger.GangRef{Key: descriptor.JobKey{Workspace: "w", Job: "j"}, Attempt: 1, Epoch: 1}
+	hold := messenger.Hold{Gang: ref, Tasks: []int{0}, Members: 1, NonIdempotent: true, PerTask: descriptor.Resources{Cores: 1}}
+	cases := []struct {
+		name  string
+		agent string
+		steps func(e *Enforcer)
+		want  bool
+	}{
+		{"unknown attempt", "run1", func(*Enforcer) {}, true},
+		{"unknown attempt, another run is meant", "run0", func(*Enforcer) {}, false},
+		{"held only", "run1", func(e *Enforcer) { _, _ = e.Hold(hold) }, true},
+		{"start sent and forgotten", "run1", func(e *Enforcer) {
+			_, _ = e.Hold(hold)
+			_, _ = e.Commit(messenger.GangStep{Gang: ref})
+			_, _ = e.Start(context.Background(), messenger.GangStep{Gang: ref})
+			_, _ = e.Stop(context.Background(), messenger.Stop{Gang: ref, Agent: "run1"})
+			e.Acknowledge([]messenger.GangRef{ref})
+			e.Tick(e.Now())
+		}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			e := &Enforcer{
+				Agent: "run1",
+				Now:   func() time.Time { return now },
+				Worker: Worker{
+					Start: func(context.Context, TaskStart) error { return nil },
+					Stop:  func(context.Context, string) error { return nil },
+				},
+			}
+			e.Adopt(capacity, nil)
+			now = now.Add(AdoptAfter)
+			e.SetPermit(messenger.Permit{Revision: 1, ValidFor: 2 * time.Second}, now)
+			tc.steps(e)
+			a, err := e.Stop(context.Background(), messenger.Stop{Gang: ref, Agent: tc.agent})
+			assert.NilError(t, err)
+			assert.Equal(t, a.NeverStarted, tc.want)
+			_, err = e.Hold(hold)
+			assert.ErrorIs(t, err, ErrStaleAttempt)
+		})
+	}
+}
