--- /dev/null
+++ b/internal/coordinator/launch.go
@@ -0,0 +1,208 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"persimmontrail/internal/keeper"
+	"persimmontrail/internal/messenger"
+	"persimmontrail/internal/scheduler"
+	"persimmontrail/pkg/descriptor"
+)
+
+// carryOut starts the goroutine that a decision asks for.
+func (d *schedulingDuty) carryOut(t *termState, c scheduler.Decision, now time.Time) {
+	d.entry.audit("job "+c.Key.String(), c.Kind.String(), c.Reason)
+	d.entry.metrics.Count("decisions_total", "kind", c.Kind.String())
+	switch c.Kind {
+	case scheduler.DecisionStart:
+		d.launch(t, c, now)
+	case scheduler.DecisionReclaim, scheduler.DecisionStop:
+		g := t.gangs[c.Key]
+		if g == nil || g.ref.Attempt != c.Attempt {
+			t.core.Observe(scheduler.Event{Key: c.Key, Attempt: c.Attempt, Kind: scheduler.EventStopped, Cause: "no agent holds it"}, now)
+			return
+		}
+		event := scheduler.Event{Key: c.Key, Attempt: c.Attempt, Kind: scheduler.EventStopped, Cause: c.Reason}
+		d.stop(t, g, c.Grace, event)
+	case scheduler.DecisionEnd:
+		result := descriptor.ResultNotRun
+		if c.Attempt > 0 {
+			result = descriptor.ResultFailed
+		}
+		d.end(t, c.Key, result, c.Reason)
+	}
+}
+
+func (d *schedulingDuty) launch(t *termState, c scheduler.Decision, now time.Time) {
+	r, ok := d.entry.jobs.get(c.Key)
+	if !ok {
+		return
+	}
+	g := &gang{
+		ref:       messenger.GangRef{Key: c.Key, Attempt: c.Attempt, Epoch: t.epoch},
+		job:       r.Job,
+		phase:     phaseStarting,
+		unclaimed: true,
+	}
+	d.manage(t, g)
+	for _, a := range c.Placement {
+		s, ok := d.entry.agents.ofWorker(a.Worker)
+		if !ok {
+			d.settleStart(t, g, refusal{worker: a.Worker, text: "no agent reports this worker"})
+			return
+		}
+		g.members = append(g.members, member{agent: s.report.Agent, address: s.report.Address, worker: a.Worker, tasks: a.Tasks})
+	}
+	d.startInBackground(t, g, d.startGang)
+}
+
+// manage makes the scheduler responsible for an attempt.
+func (d *schedulingDuty) manage(t *termState, g *gang) {
+	t.gangs[g.ref.Key] = g
+	t.attempted[g.ref.Key] = true
+	d.mu.Lock()
+	d.attempts[g.ref.Key] = g.ref.Attempt
+	d.mu.Unlock()
+}
+
+// dismiss ends the responsibility for an attempt.
+func (d *schedulingDuty) dismiss(t *termState, g *gang) {
+	if t.gangs[g.ref.Key] != g {
+		return
+	}
+	delete(t.gangs, g.ref.Key)
+	d.mu.Lock()
+	delete(d.attempts, g.ref.Key)
+	d.mu.Unlock()
+}
+
+// forgetAttempt drops the attempt of a job whose end is durable.
+func (d *schedulingDuty) forgetAttempt(t *termState, k descriptor.JobKey) {
+	delete(t.awaited, k)
+	delete(t.attempted, k)
+	if t.gangs[k] != nil {
+		return
+	}
+	d.mu.Lock()
+	delete(d.attempts, k)
+	d.mu.Unlock()
+}
+
+func (d *schedulingDuty) startInBackground(t *termState, g *gang, start func(context.Context, *gang) error) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	g.cancelStart = cancel
+	d.background.Go(func() {
+		err := start(ctx, g)
+		cancel()
+		d.commands <- func() {
+			if d.running == t {
+				d.settleStart(t, g, err)
+			}
+		}
+	})
+}
+
+// settleStart records that a gang runs, or stops what there is of it.
+func (d *schedulingDuty) settleStart(t *termState, g *gang, err error) {
+	now := d.entry.now()
+	if g.phase == phaseStopping {
+		return
+	}
+	if err == nil {
+		g.phase = phaseRunning
+		g.started = now
+		t.core.Observe(scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventStarted}, now)
+		if r, ok := d.entry.jobs.get(g.ref.Key); ok {
+			d.entry.metrics.Duration("job_wait_seconds", now.Sub(r.Accepted), "workspace", string(g.job.Workspace), "class", string(g.job.Class))
+		}
+		d.recordRunning(g)
+		return
+	}
+	// No Start was sent in this term, and one of an earlier term would have left a claim.
+	g.unstarted = g.unclaimed && !errors.Is(err, errStartUncertain) && !errors.Is(err, errAlreadyClaimed)
+	event := scheduler.Event{Key: g.ref.Key, Attempt: g.ref.Attempt, Kind: scheduler.EventNotStarted, Cause: err.Error()}
+	var r refusal
+	if errors.As(err, &r) {
+		event.Worker = r.worker
+	}
+	d.entry.audit("job "+g.ref.Key.String(), "not started", err.Error())
+	d.stop(t, g, 0, event)
+}
+
+// recordRunning makes the attempt of an idempotent job known to a successor. A
+// job that runs at most once was claimed before the start.
+func (d *schedulingDuty) recordRunning(g *gang) {
+	if g.job.NonIdempotent {
+		return
+	}
+	ref := g.ref
+	d.records.add(ref.Key, func(r *keeper.JobRecord) error {
+		if r.State == keeper.JobEnded || r.State == keeper.JobCancelling || r.Attempt > ref.Attempt {
+			return errAlreadyEnded
+		}
+		r.State = keeper.JobRunning
+		r.Attempt = ref.Attempt
+		r.Epoch = ref.Epoch
+		return nil
+	})
+}
+
+// stop stops all members and then tells the core what became of the attempt.
+func (d *schedulingDuty) stop(t *termState, g *gang, grace time.Duration, event scheduler.Event) {
+	if g.phase == phaseStopping {
+		return
+	}
+	wasStarting := g.phase == phaseStarting
+	g.phase = phaseStopping
+	g.outcome = event
+	if g.cancelStart != nil {
+		g.cancelStart()
+	}
+	d.background.Go(func() {
+		never := d.stopGang(t.ctx, g, grace, event.Cause)
+		d.commands <- func() {
+			if d.running == t {
+				d.settleStop(t, g, wasStarting && (never || g.unstarted))
+			}
+		}
+	})
+}
+
+// releaseClaim takes back the claim of an attempt that certainly never started,
+// so that the job may have another one.
+func (d *schedulingDuty) releaseClaim(g *gang) {
+	if !g.job.NonIdempotent {
+		return
+	}
+	ref := g.ref
+	d.records.add(ref.Key, func(r *keeper.JobRecord) error {
+		if r.State != keeper.JobRunning || r.Attempt != ref.Attempt || r.Epoch != ref.Epoch {
+			return errAlreadyEnded
+		}
+		r.State = keeper.JobQueued
+		return nil
+	})
+}
+
+// settleStop tells the core the outcome of an attempt that has stopped.
+func (d *schedulingDuty) settleStop(t *termState, g *gang, neverStarted bool) {
+	now := d.entry.now()
+	k := g.ref.Key
+	r, _ := d.entry.jobs.get(k)
+	d.dismiss(t, g)
+	if neverStarted {
+		g.outcome.Kind = scheduler.EventNotStarted
+		d.releaseClaim(g)
+	}
+	t.core.Observe(g.outcome, now)
+	switch {
+	case r.State == keeper.JobCancelling:
+		d.end(t, k, descriptor.ResultFailed, "cancelled")
+	case g.job.NonIdempotent && !neverStarted:
+		_ = t.core.Cancel(k, now)
+		d.end(t, k, descriptor.ResultUnknown, "the job runs at most once and its attempt ended without a result: "+g.outcome.Cause)
+	}
+	d.wake()
+}
--- a/internal/enforcer/adopt.go
+++ b/internal/enforcer/adopt.go
@@ -39,7 +39,7 @@
 	}
 	for _, t := range tasks {
 		if !Accountable(t) || t.Attempt != e.attempts[t.Key].number || !e.adoptTask(t, now) {
-			e.stopStray(t.ID, t.State)
+			e.stopUnexpected(t.ID, t.State)
 		}
 	}
 	for _, g := range e.gangs {
@@ -123,8 +123,8 @@
 	e.concludeGang(g, now)
 }
 
-// stopStray stops a task that belongs to no gang. A failed call is repeated when the task is observed again.
-func (e *Enforcer) stopStray(id string, state messenger.TaskState) {
+// stopUnexpected stops a task that belongs to no gang. A failed call is repeated when the task is observed again.
+func (e *Enforcer) stopUnexpected(id string, state messenger.TaskState) {
 	if state.Ended() {
 		return
 	}
@@ -142,14 +142,14 @@
 	for _, t := range tasks {
 		byID[t.ID] = t
 	}
-	strays := maps.Clone(byID)
+	unexpected := maps.Clone(byID)
 	before := e.lock()
 	defer e.unlock(before)
 	now := e.now()
 	for _, g := range e.gangs {
 		for _, t := range g.tasks {
 			if !g.state.Ended() {
-				delete(strays, t.id)
+				delete(unexpected, t.id)
 			}
 		}
 		if g.state != messenger.TaskRunning {
@@ -167,8 +167,8 @@
 		}
 		e.concludeGang(g, now)
 	}
-	for id, t := range strays {
-		e.stopStray(id, t.State)
+	for id, t := range unexpected {
+		e.stopUnexpected(id, t.State)
 	}
 }
 
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -40,9 +40,9 @@
 	checkpointed bool
 	// contradicts says that the attempt was found and contradicts the view; it is only stopped.
 	contradicts bool
-	// stray attempts contradict the view and are not the current attempt of their job.
-	stray     bool
-	startedAt int64
+	// unexpected attempts contradict the view and are not the current attempt of their job.
+	unexpected bool
+	startedAt  int64
 	// length is the run time expected at the start.
 	length int64
 	// backfillUntil is the start of the reservation before which the attempt is to end; 0 for none.
@@ -64,7 +64,7 @@
 func (a *attempt) attached() bool { return len(a.spans) > 0 }
 
 // reclaimable reports whether a may be asked to stop for the benefit of others.
-func (a *attempt) reclaimable() bool { return !a.firm && !a.leaving && !a.claim && !a.stray }
+func (a *attempt) reclaimable() bool { return !a.firm && !a.leaving && !a.claim && !a.unexpected }
 
 // placement returns the assignments of a for a decision.
 func (a *attempt) placement() []Assignment {
@@ -111,8 +111,8 @@
 	c.capacityFreed()
 }
 
-// harden marks the resources of a as not reclaimable.
-func (c *Core) harden(a *attempt) {
+// makeFirm marks the resources of a as not reclaimable.
+func (c *Core) makeFirm(a *attempt) {
 	a.firm = true
 	for _, s := range a.spans {
 		v := a.job.need.times(s.count)
@@ -122,8 +122,8 @@
 	}
 }
 
-// soften undoes harden.
-func (c *Core) soften(a *attempt) {
+// makeReclaimable undoes makeFirm.
+func (c *Core) makeReclaimable(a *attempt) {
 	if !a.firm {
 		return
 	}
@@ -139,14 +139,14 @@
 // leave asks a to stop. Its guarantee is free for other work at once, since its capacity returns within the grace.
 func (c *Core) leave(a *attempt, grace int64, reason string) {
 	c.discharge(a)
-	c.soften(a)
+	c.makeReclaimable(a)
 	a.leaving, a.leavingAt = true, c.now
 	a.checkpointed = grace > 0 && a.running
 	for _, s := range a.spans {
 		s.worker.leaving = s.worker.leaving.plus(a.job.need.times(s.count))
 	}
 	c.stopping = append(c.stopping, a)
-	if !a.stray && a.job.state != StateEnded {
+	if !a.unexpected && a.job.state != StateEnded {
 		a.job.state = StateReclaimed
 	}
 	c.emitStop(a, reason, grace)
@@ -173,7 +173,7 @@
 // release frees everything that a holds.
 func (c *Core) release(a *attempt) {
 	c.discharge(a)
-	c.soften(a)
+	c.makeReclaimable(a)
 	for _, s := range slices.Clone(a.spans) {
 		c.detach(a, s.worker)
 	}
--- a/internal/scheduler/cells.go
+++ b/internal/scheduler/cells.go
@@ -41,12 +41,6 @@
 
 func (l *cell) residual() int { return l.size - l.used }
 
-// charge is the use of a cell by an attempt.
-type charge struct {
-	cell  *cell
-	count int
-}
-
 // workspace is a tenant and its guarantee.
 type workspace struct {
 	name   descriptor.WorkspaceID
@@ -479,21 +473,6 @@
 	return ws != nil && c.mayClaim(ws, j, ws.claimedBy[j.Class])
 }
 
-// entitled reports whether the job may run on the guarantee of its workspace now.
-func (c *Core) entitled(j *job) bool {
-	ws := c.workspaces[j.Workspace]
-	if ws == nil || !c.mayClaim(ws, j, ws.claimedBy[j.Class]) {
-		return false
-	}
-	open := 0
-	for _, l := range ws.cells {
-		if !c.keptForLock(l, j) {
-			open += l.residual()
-		}
-	}
-	return open >= j.accelerators()
-}
-
 // lockedBefore reports whether the lock of ws keeps a part of the guarantee from j.
 func (c *Core) lockedBefore(ws *workspace, j *job) bool {
 	return ws.lock != nil && ws.lock != j && !j.before(ws.lock) && c.mayClaim(ws, ws.lock, ws.claimedBy[ws.lock.Class])
@@ -525,69 +504,6 @@
 	return end
 }
 
-// mayClaim reports whether the class may claim the accelerators of j beside those that it has claimed.
-func (c *Core) mayClaim(ws *workspace, j *job, claimed int) bool {
-	n := j.accelerators()
-	if n == 0 || n > ws.total {
-		return false
-	}
-	class := c.classes[j.Class]
-	return class != nil && float64(claimed+n) <= float64(class.Share)*float64(ws.total)+1e-9
-}
-
-// covers reports whether one cell of the workspace can hold the whole gang.
-func (c *Core) covers(j *job) bool {
-	ws := c.workspaces[j.Workspace]
-	if ws == nil || !c.mayClaim(ws, j, ws.claimedBy[j.Class]) {
-		return false
-	}
-	return slices.ContainsFunc(ws.cells, func(l *cell) bool { return (l.planned || l.used > 0) && l.mayHold(j) })
-}
-
-// charge puts a on the guarantee of its workspace and makes it firm.
-// It returns false and changes nothing when the other guarantees would no longer fit.
-func (c *Core) charge(a *attempt) bool {
-	c.ensurePlan()
-	ws := c.workspaces[a.job.Workspace]
-	if ws == nil {
-		return false
-	}
-	c.journal = c.journal[:0]
-	if !sound(a.spans) {
-		return false
-	}
-	if !c.chargeOne(ws, a) && !c.chargeMany(ws, a) {
-		c.undoCharge(a)
-		return false
-	}
-	if !c.withinShare(ws, a) {
-		c.undoCharge(a)
-		return false
-	}
-	return c.hardenChecked(a)
-}
-
-// hardenChecked makes a firm when the plan can be repaired for it, and undoes its charges otherwise.
-func (c *Core) hardenChecked(a *attempt) bool {
-	c.harden(a)
-	for _, s := range a.spans {
-		if int(s.worker.capacity.accelerators) < s.worker.firmCells {
-			c.soften(a)
-			c.undoCharge(a)
-			return false
-		}
-	}
-	if !c.repair(a.spans) {
-		c.soften(a)
-		c.undoCharge(a)
-		c.planDirty = false
-		return false
-	}
-	c.planDirty = false
-	c.noteCharged(a)
-	return true
-}
-
 // noteCharged counts the charges of a for its class and its workspace.
 func (c *Core) noteCharged(a *attempt) {
 	if len(a.charges) == 0 {
@@ -600,51 +516,11 @@
 	}
 }
 
-// pin makes a firm without a guarantee, when all guarantees still fit beside it.
-func (c *Core) pin(a *attempt) bool {
-	c.ensurePlan()
-	c.journal = c.journal[:0]
-	return sound(a.spans) && c.hardenChecked(a)
-}
-
 // sound reports whether all workers of spans count for guarantees.
 func sound(spans []span) bool {
 	return !slices.ContainsFunc(spans, func(s span) bool { return !s.worker.usable || s.worker.health.probing })
 }
 
-func (c *Core) withinShare(ws *workspace, a *attempt) bool {
-	n := 0
-	for _, h := range a.charges {
-		n += h.count
-	}
-	class := c.classes[a.job.Class]
-	return class != nil && float64(ws.claimedBy[a.job.Class]+n) <= float64(class.Share)*float64(ws.total)+1e-9
-}
-
-func (c *Core) undoCharge(a *attempt) {
-	for i := len(a.charges) - 1; i >= 0; i-- {
-		c.use(a.charges[i].cell, -a.charges[i].count)
-	}
-	a.charges = nil
-	c.rollback()
-}
-
-// discharge returns the guarantee that a uses.
-func (c *Core) discharge(a *attempt) {
-	if len(a.charges) == 0 {
-		return
-	}
-	for _, h := range a.charges {
-		h.cell.workspace.claimedBy[a.job.Class] -= h.count
-		c.use(h.cell, -h.count)
-	}
-	ws := a.charges[0].cell.workspace
-	ws.charged = without(ws.charged, a)
-	a.charges = nil
-	c.planDirty = true
-	c.capacityFreed()
-}
-
 // common returns the node of level l that holds all spans, or nil.
 func common(spans []span, l descriptor.Level) *node {
 	var n *node
@@ -658,33 +534,6 @@
 	return n
 }
 
-// chargeOne charges a single cell for the whole gang: a broken one where the gang is, else the smallest.
-func (c *Core) chargeOne(ws *workspace, a *attempt) bool {
-	need := 0
-	for _, s := range a.spans {
-		need += s.worker.cells(a.job.need.times(s.count))
-	}
-	var best *cell
-	var at *node
-	for _, l := range ws.cells {
-		if !l.planned || l.residual() < need || c.keptForLock(l, a.job) {
-			continue
-		}
-		n := common(a.spans, l.level)
-		if n == nil || (l.region != "" && n.region != l.region) || (l.used > 0 && l.node != n) {
-			continue
-		}
-		if best == nil || betterCell(l, best, n) {
-			best, at = l, n
-		}
-	}
-	if best == nil {
-		return false
-	}
-	c.moveAndUse(a, best, at, need)
-	return true
-}
-
 func betterCell(l, best *cell, n *node) bool {
 	if (l.used > 0) != (best.used > 0) {
 		return l.used > 0
@@ -694,62 +543,3 @@
 	}
 	return l.node == n && best.node != n && l.level == best.level
 }
-
-func (c *Core) moveAndUse(a *attempt, l *cell, n *node, count int) {
-	if l.node != n {
-		c.remember(l)
-		c.unplan(l)
-		c.plan(l, n)
-	}
-	c.use(l, count)
-	a.charges = append(a.charges, charge{l, count})
-}
-
-// chargeMany spreads the gang over several cells, the tightest first.
-func (c *Core) chargeMany(ws *workspace, a *attempt) bool {
-	left := make([]int, len(a.spans))
-	for i, s := range a.spans {
-		left[i] = s.worker.cells(a.job.need.times(s.count))
-	}
-	for _, bound := range []bool{true, false} {
-		for _, l := range ws.cells {
-			if l.planned && (l.used > 0) == bound && l.residual() > 0 && !c.keptForLock(l, a.job) {
-				c.chargePart(a, l, left)
-			}
-		}
-	}
-	for _, n := range left {
-		if n > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// chargePart charges l for as much as it can take within one node.
-func (c *Core) chargePart(a *attempt, l *cell, left []int) {
-	at, most := l.node, 0
-	sums := make(map[*node]int)
-	for i, s := range a.spans {
-		n := s.worker.node.ancestor(l.level)
-		if left[i] == 0 || (l.used > 0 && n != l.node) || (l.region != "" && n.region != l.region) {
-			continue
-		}
-		sums[n] += left[i]
-		if sums[n] > most {
-			at, most = n, sums[n]
-		}
-	}
-	take := min(most, l.residual())
-	if take == 0 {
-		return
-	}
-	c.moveAndUse(a, l, at, take)
-	for i, s := range a.spans {
-		if s.worker.node.ancestor(l.level) == at {
-			n := min(take, left[i])
-			left[i] -= n
-			take -= n
-		}
-	}
-}
--- /dev/null
+++ b/internal/scheduler/charge.go
@@ -0,0 +1,215 @@
+package scheduler
+
+import (
+	"slices"
+)
+
+// charge is the use of a cell by an attempt.
+type charge struct {
+	cell  *cell
+	count int
+}
+
+// entitled reports whether the job may run on the guarantee of its workspace now.
+func (c *Core) entitled(j *job) bool {
+	ws := c.workspaces[j.Workspace]
+	if ws == nil || !c.mayClaim(ws, j, ws.claimedBy[j.Class]) {
+		return false
+	}
+	open := 0
+	for _, l := range ws.cells {
+		if !c.keptForLock(l, j) {
+			open += l.residual()
+		}
+	}
+	return open >= j.accelerators()
+}
+
+// mayClaim reports whether the class may claim the accelerators of j beside those that it has claimed.
+func (c *Core) mayClaim(ws *workspace, j *job, claimed int) bool {
+	n := j.accelerators()
+	if n == 0 || n > ws.total {
+		return false
+	}
+	class := c.classes[j.Class]
+	return class != nil && float64(claimed+n) <= float64(class.Share)*float64(ws.total)+1e-9
+}
+
+// covers reports whether one cell of the workspace can hold the whole gang.
+func (c *Core) covers(j *job) bool {
+	ws := c.workspaces[j.Workspace]
+	if ws == nil || !c.mayClaim(ws, j, ws.claimedBy[j.Class]) {
+		return false
+	}
+	return slices.ContainsFunc(ws.cells, func(l *cell) bool { return (l.planned || l.used > 0) && l.mayHold(j) })
+}
+
+// charge puts a on the guarantee of its workspace and makes it firm.
+// It returns false and changes nothing when the other guarantees would no longer fit.
+func (c *Core) charge(a *attempt) bool {
+	c.ensurePlan()
+	ws := c.workspaces[a.job.Workspace]
+	if ws == nil {
+		return false
+	}
+	c.journal = c.journal[:0]
+	if !sound(a.spans) {
+		return false
+	}
+	if !c.chargeOne(ws, a) && !c.chargeMany(ws, a) {
+		c.undoCharge(a)
+		return false
+	}
+	if !c.withinShare(ws, a) {
+		c.undoCharge(a)
+		return false
+	}
+	return c.makeFirmChecked(a)
+}
+
+// makeFirmChecked makes a firm when the plan can be repaired for it, and undoes its charges otherwise.
+func (c *Core) makeFirmChecked(a *attempt) bool {
+	c.makeFirm(a)
+	for _, s := range a.spans {
+		if int(s.worker.capacity.accelerators) < s.worker.firmCells {
+			c.makeReclaimable(a)
+			c.undoCharge(a)
+			return false
+		}
+	}
+	if !c.repair(a.spans) {
+		c.makeReclaimable(a)
+		c.undoCharge(a)
+		c.planDirty = false
+		return false
+	}
+	c.planDirty = false
+	c.noteCharged(a)
+	return true
+}
+
+// pin makes a firm without a guarantee, when all guarantees still fit beside it.
+func (c *Core) pin(a *attempt) bool {
+	c.ensurePlan()
+	c.journal = c.journal[:0]
+	return sound(a.spans) && c.makeFirmChecked(a)
+}
+
+func (c *Core) withinShare(ws *workspace, a *attempt) bool {
+	n := 0
+	for _, h := range a.charges {
+		n += h.count
+	}
+	class := c.classes[a.job.Class]
+	return class != nil && float64(ws.claimedBy[a.job.Class]+n) <= float64(class.Share)*float64(ws.total)+1e-9
+}
+
+func (c *Core) undoCharge(a *attempt) {
+	for i := len(a.charges) - 1; i >= 0; i-- {
+		c.use(a.charges[i].cell, -a.charges[i].count)
+	}
+	a.charges = nil
+	c.rollback()
+}
+
+// discharge returns the guarantee that a uses.
+func (c *Core) discharge(a *attempt) {
+	if len(a.charges) == 0 {
+		return
+	}
+	for _, h := range a.charges {
+		h.cell.workspace.claimedBy[a.job.Class] -= h.count
+		c.use(h.cell, -h.count)
+	}
+	ws := a.charges[0].cell.workspace
+	ws.charged = without(ws.charged, a)
+	a.charges = nil
+	c.planDirty = true
+	c.capacityFreed()
+}
+
+// chargeOne charges a single cell for the whole gang: a broken one where the gang is, else the smallest.
+func (c *Core) chargeOne(ws *workspace, a *attempt) bool {
+	need := 0
+	for _, s := range a.spans {
+		need += s.worker.cells(a.job.need.times(s.count))
+	}
+	var best *cell
+	var at *node
+	for _, l := range ws.cells {
+		if !l.planned || l.residual() < need || c.keptForLock(l, a.job) {
+			continue
+		}
+		n := common(a.spans, l.level)
+		if n == nil || (l.region != "" && n.region != l.region) || (l.used > 0 && l.node != n) {
+			continue
+		}
+		if best == nil || betterCell(l, best, n) {
+			best, at = l, n
+		}
+	}
+	if best == nil {
+		return false
+	}
+	c.moveAndUse(a, best, at, need)
+	return true
+}
+
+func (c *Core) moveAndUse(a *attempt, l *cell, n *node, count int) {
+	if l.node != n {
+		c.remember(l)
+		c.unplan(l)
+		c.plan(l, n)
+	}
+	c.use(l, count)
+	a.charges = append(a.charges, charge{l, count})
+}
+
+// chargeMany spreads the gang over several cells, the tightest first.
+func (c *Core) chargeMany(ws *workspace, a *attempt) bool {
+	left := make([]int, len(a.spans))
+	for i, s := range a.spans {
+		left[i] = s.worker.cells(a.job.need.times(s.count))
+	}
+	for _, bound := range []bool{true, false} {
+		for _, l := range ws.cells {
+			if l.planned && (l.used > 0) == bound && l.residual() > 0 && !c.keptForLock(l, a.job) {
+				c.chargePart(a, l, left)
+			}
+		}
+	}
+	for _, n := range left {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// chargePart charges l for as much as it can take within one node.
+func (c *Core) chargePart(a *attempt, l *cell, left []int) {
+	at, most := l.node, 0
+	sums := make(map[*node]int)
+	for i, s := range a.spans {
+		n := s.worker.node.ancestor(l.level)
+		if left[i] == 0 || (l.used > 0 && n != l.node) || (l.region != "" && n.region != l.region) {
+			continue
+		}
+		sums[n] += left[i]
+		if sums[n] > most {
+			at, most = n, sums[n]
+		}
+	}
+	take := min(most, l.residual())
+	if take == 0 {
+		return
+	}
+	c.moveAndUse(a, l, at, take)
+	for i, s := range a.spans {
+		if s.worker.node.ancestor(l.level) == at {
+			n := min(take, left[i])
+			left[i] -= n
+			take -= n
+		}
+	}
+}
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -76,13 +76,13 @@
 	j.failures = append(slices.DeleteFunc(j.failures, func(f failure) bool { return f.worker == e.Worker }), failure{e.Worker, c.now})
 	good := c.failedOnGood(j, ran)
 	if w != nil && good < 2 {
-		c.blameWorker(w, j, probe)
+		c.recordWorkerFailure(w, j, probe)
 	}
 	switch {
 	case j.NonIdempotent:
 		c.end(j, "a task failed and the job runs at most once: "+e.Cause)
 	case good >= badJobWorkers:
-		c.excuse(j)
+		c.forgetJobFailures(j)
 		c.end(j, fmt.Sprintf("failed on %d workers on which other jobs succeed: %s", good, e.Cause))
 	case len(j.failures) >= badJobLimit:
 		c.end(j, fmt.Sprintf("failed on %d workers: %s", len(j.failures), e.Cause))
@@ -120,8 +120,8 @@
 	})
 }
 
-// blameWorker notes a failure on w and puts it into quarantine when it fails everything.
-func (c *Core) blameWorker(w *worker, j *job, probe bool) {
+// recordWorkerFailure notes a failure on w and puts it into quarantine when it fails everything.
+func (c *Core) recordWorkerFailure(w *worker, j *job, probe bool) {
 	h := &w.health
 	h.blames = slices.DeleteFunc(h.blames, func(b blame) bool { return b.job == j })
 	if len(h.blames) == blamesKept {
@@ -160,8 +160,8 @@
 	})
 }
 
-// excuse removes the failures of a bad job from the workers.
-func (c *Core) excuse(j *job) {
+// forgetJobFailures removes the failures of a bad job from the workers.
+func (c *Core) forgetJobFailures(j *job) {
 	for _, f := range j.failures {
 		if w := c.view.workers[f.worker]; w != nil {
 			w.health.blames = slices.DeleteFunc(w.health.blames, func(b blame) bool { return b.job == j })
@@ -186,12 +186,12 @@
 	h := &w.health
 	h.lastSuccess, h.blames = c.now, nil
 	if h.probe == a {
-		c.acquit(w)
+		c.endQuarantine(w)
 	}
 }
 
-// acquit ends the probing of w.
-func (c *Core) acquit(w *worker) {
+// endQuarantine ends the probing of w.
+func (c *Core) endQuarantine(w *worker) {
 	h := &w.health
 	h.probing, h.probe, h.level, h.blames = false, nil, 0, nil
 	c.quarantined = without(c.quarantined, w)
@@ -221,7 +221,7 @@
 			h.quarantined, h.probing, h.blames = false, true, nil
 			c.refresh(w)
 		case h.probing && h.probe != nil && h.probe.running && c.now-h.probe.startedAt >= healthyRun:
-			c.acquit(w)
+			c.endQuarantine(w)
 		}
 	}
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -274,7 +274,7 @@
 		c.shapes[k] = j.shape
 	}
 	j.shape.jobs++
-	for k := range c.strays {
+	for k := range c.unexpected {
 		if k.key == j.Key() {
 			j.number = max(j.number, k.number)
 		}
--- a/internal/scheduler/regrant.go
+++ b/internal/scheduler/regrant.go
@@ -45,7 +45,7 @@
 	for i, a := range s.charged {
 		a.charges = s.charges[i]
 		c.noteCharged(a)
-		c.harden(a)
+		c.makeFirm(a)
 	}
 	c.planDirty, c.freed, c.generation = s.planDirty, s.freed, s.generation
 }
@@ -77,7 +77,7 @@
 // withdraw takes a off its guarantee, so that it runs on borrowed capacity.
 func (c *Core) withdraw(a *attempt) {
 	c.discharge(a)
-	c.soften(a)
+	c.makeReclaimable(a)
 }
 
 // regroup assigns the running work of a workspace to its cells anew, the largest first, so that a whole cell
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -31,8 +31,8 @@
 	drainWithin = 26 * time.Second
 	// checkpointWithin leaves time to stop the tasks after their checkpoints.
 	checkpointWithin = 20 * time.Second
-	// farewell is how long the agent waits for entries to take its last report.
-	farewell = 2 * time.Second
+	// lastReportWait is how long the agent waits for entries to take its last report.
+	lastReportWait = 2 * time.Second
 )
 
 // ErrRole refuses a message from a peer that is not an entry.
@@ -243,7 +243,7 @@
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.enforcer.StopAll(drain, "agent is leaving", checkpointWithin) }()
 	err := errors.Join(a.waitRequests(drain), <-stopped)
-	last, cancelLast := context.WithTimeout(ctx, farewell)
+	last, cancelLast := context.WithTimeout(ctx, lastReportWait)
 	defer cancelLast()
 	a.reports.flush(last)
 	err = errors.Join(err, server.Shutdown(ctx))
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -243,12 +243,12 @@
 	bubble(t, func(f *fixture) {
 		f.run(1)
 		time.Sleep(20 * time.Second)
-		stray := enforcer.TaskStart{
-			ID: "stray", Members: 1, Lease: descriptor.Duration(time.Hour), NotAfter: time.Now().Add(time.Second),
+		unexpected := enforcer.TaskStart{
+			ID: "unexpected", Members: 1, Lease: descriptor.Duration(time.Hour), NotAfter: time.Now().Add(time.Second),
 			Key: descriptor.JobKey{Workspace: "tailor", Job: "x"}, RunTime: descriptor.Duration(time.Hour),
 		}
 		f.crash()
-		assert.NilError(t, f.agent.worker.start(context.Background(), stray))
+		assert.NilError(t, f.agent.worker.start(context.Background(), unexpected))
 		f.entries.set(func(e *entries) { e.reports = nil })
 		time.Sleep(3 * time.Second) // The leases would lapse before the adoption.
 		f.boot()
@@ -260,7 +260,7 @@
 		list, err := f.agent.worker.tasks(context.Background())
 		assert.NilError(t, err)
 		for _, w := range list {
-			assert.Equal(t, w.State.Ended(), w.ID == "stray", w.ID)
+			assert.Equal(t, w.State.Ended(), w.ID == "unexpected", w.ID)
 		}
 	})
 }
