--- a/internal/coordinator/gang.go
+++ b/internal/coordinator/gang.go
@@ -194,7 +194,14 @@
 func (d *schedulingDuty) claimAttempt(ctx context.Context, g *gang) error {
 	jobs := keeper.Jobs{Store: d.entry.store, Region: d.entry.settings.Region}
 	now := d.entry.now()
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
 	r, err := jobs.Change(ctx, g.ref.Key, func(r *keeper.JobRecord) error {
+		// The keeper may apply a change after its caller has given up. A claim that
+		// lands then would keep the next scheduler from starting the job.
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		if r.State == keeper.JobEnded || r.State == keeper.JobCancelling {
 			return errAlreadyEnded
 		}
