--- a/internal/loader/deployment.go
+++ b/internal/loader/deployment.go
@@ -87,7 +87,6 @@
 		if err != nil {
 			return err
 		}
-		p.role = "entry"
 		d.entries = append(d.entries, p)
 		addresses = append(addresses, p.address)
 	}
--- a/internal/loader/measure.go
+++ b/internal/loader/measure.go
@@ -35,7 +35,7 @@
 	// StoreBytes is the bytes a second of the bodies of calls to the store and of its answers.
 	StoreBytes float64
 	// UrgentStart is from submission to the start at the worker, Propagation from the answer to a change until the
-	// last agent holds the revision.
+	// last agent of the shared processes holds the revision.
 	UrgentStart, Propagation Percentiles
 	// RequestTime is from sending a request to its answer.
 	RequestTime Percentiles
