--- /dev/null
+++ b/internal/admitter/serve.go
@@ -0,0 +1,377 @@
+package admitter
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/planner"
+	"persimmontrail/pkg/descriptor"
+)
+
+// CallPath and PlanPath are what entries serve to one another.
+const (
+	CallPath = "/call"
+	PlanPath = "/plan"
+)
+
+const (
+	// peerTimeout bounds one try at another entry. It covers a write to a slow store.
+	peerTimeout = 900 * time.Millisecond
+	// retryAfter is when a refused caller may find the store again. Its outages last seconds, and an entry that is
+	// turned away has asked all others before it refuses.
+	retryAfter = time.Second
+	// answerMargin of a caller's deadline is left for the answer's way back.
+	answerMargin = 150 * time.Millisecond
+	// maxCall bounds a call between entries.
+	maxCall = 4 << 20
+	// planEvery is how often an entry that lost the store asks others for the configuration.
+	planEvery = 400 * time.Millisecond
+)
+
+// Action is what a caller wants.
+type Action string
+
+// Actions.
+const (
+	ActionSubmit Action = "Submit"
+	ActionState  Action = "State"
+	ActionCancel Action = "Cancel"
+	ActionCount  Action = "Count"
+)
+
+// Call is a caller's call.
+type Call struct {
+	Action Action
+	Caller Caller
+	// Workload of a submission; the queue's settings are filled in by Submit.
+	Workload descriptor.Workload
+	Timeout  time.Duration
+	// Forwarded calls are not passed on again.
+	Forwarded bool
+}
+
+// Code classifies a reply.
+type Code string
+
+// Codes.
+const (
+	CodeDone    Code = "Done"
+	CodeNoQueue Code = "NoQueue"
+	CodeNoKey   Code = "NoKey"
+	CodeNoJob   Code = "NoJob"
+	CodeInvalid Code = "Invalid"
+	// CodeRefused means that the call was not carried out and never will be.
+	CodeRefused Code = "Refused"
+	// CodeUnknown means that the call may have been carried out, now or later.
+	CodeUnknown Code = "Unknown"
+	// CodeLocal means that another entry may be able to serve the call. Nothing was done.
+	CodeLocal Code = "Local"
+)
+
+// Reply answers a call.
+type Reply struct {
+	Code     Code
+	Reason   string
+	State    planner.JobState
+	Waiting  int
+	Repeated bool
+	// RetryAfter of a refusal is when the caller may come back.
+	RetryAfter time.Duration
+}
+
+var codes = []struct {
+	err  error
+	code Code
+}{
+	{ErrUnknown, CodeUnknown},
+	{ErrNoQueue, CodeNoQueue},
+	{ErrNoKey, CodeNoKey},
+	{ErrNoJob, CodeNoJob},
+	{ErrInvalid, CodeInvalid},
+	{ErrLocal, CodeLocal},
+	{ErrConfigurationChanged, CodeLocal},
+	{ErrRefused, CodeRefused},
+}
+
+func replyTo(err error) Reply {
+	for _, c := range codes {
+		if errors.Is(err, c.err) {
+			return Reply{Code: c.code, Reason: err.Error()}
+		}
+	}
+	return Reply{Code: CodeRefused, Reason: err.Error()}
+}
+
+// Serve answers a call here or, when the store is not reached from here, at another entry.
+func (a *Admitter) Serve(ctx context.Context, c Call) Reply {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout-answerMargin)
+	defer cancel()
+	r := a.serveHere(ctx, c, false)
+	where := "here"
+	if (r.Code == CodeLocal || r.Code == CodeUnknown) && !c.Forwarded {
+		r, where = a.serveElsewhere(ctx, c, r)
+	}
+	if r.Code == CodeRefused {
+		r.RetryAfter = retryAfter
+	}
+	_, revision := a.Plan.Now()
+	a.Metrics.Duration("call_seconds", time.Since(began), "action", string(c.Action), "code", string(r.Code))
+	a.Log.Info("call", "action", c.Action, "job", c.Workload.ID, "code", r.Code, "reason", r.Reason, "state", r.State,
+		"repeated", r.Repeated, "where", where, "forwarded", c.Forwarded, "config", revision,
+		"config_age", time.Since(a.PlanConfirmed()).Round(time.Millisecond),
+		"documents_age", time.Since(a.Documents.Confirmed()).Round(time.Millisecond), "took", time.Since(began).Round(time.Microsecond))
+	return r
+}
+
+// maxRechecks bounds how often a call follows a configuration that changes meanwhile.
+const maxRechecks = 6
+
+// serveHere answers by the store and the mirror. With stale, it also answers by what may be old.
+func (a *Admitter) serveHere(ctx context.Context, c Call, stale bool) Reply {
+	var err error
+	for range maxRechecks {
+		var t Target
+		t, err = a.Resolve(ctx, c.Caller)
+		if err != nil && !(stale && errors.Is(err, ErrLocal) && t.Queue != nil) {
+			return replyTo(err)
+		}
+		var r Reply
+		r, err = a.act(ctx, c, t)
+		if err == nil {
+			return r
+		}
+		if !errors.Is(err, ErrConfigurationChanged) {
+			return replyTo(err)
+		}
+	}
+	return replyTo(err)
+}
+
+func (a *Admitter) act(ctx context.Context, c Call, t Target) (Reply, error) {
+	id := c.Workload.ID
+	if c.Action != ActionCount && id == "" {
+		return Reply{}, ErrNoJob
+	}
+	switch c.Action {
+	case ActionSubmit:
+		v, err := a.Submit(ctx, t, c.Workload)
+		return Reply{Code: CodeDone, Repeated: v.Repeated}, err
+	case ActionState:
+		s, err := a.State(ctx, t, id)
+		return Reply{Code: CodeDone, State: s}, err
+	case ActionCancel:
+		return Reply{Code: CodeDone}, a.Cancel(ctx, t, id)
+	case ActionCount:
+		if time.Since(a.Documents.Confirmed()) > visible {
+			return Reply{}, ErrLocal
+		}
+		return Reply{Code: CodeDone, Waiting: a.Waiting(t)}, nil
+	}
+	return Reply{}, fmt.Errorf("%w: action %q", ErrInvalid, c.Action)
+}
+
+// serveElsewhere asks the other entries, the leader first. Once here or another entry may have carried the call out,
+// it is never refused.
+func (a *Admitter) serveElsewhere(ctx context.Context, c Call, here Reply) (Reply, string) {
+	c.Forwarded = true
+	unknown := Reply{}
+	if here.Code == CodeUnknown {
+		unknown = here
+	}
+	for _, m := range a.peers() {
+		if ctx.Err() != nil {
+			break
+		}
+		c.Timeout = peerTimeout
+		r, err := a.callPeer(ctx, m, c)
+		if err != nil {
+			a.Log.Info("entry did not answer", "node", m.Node, "job", c.Workload.ID, "err", err)
+			if !neverSent(err) && c.Action == ActionSubmit {
+				unknown = Reply{Code: CodeUnknown, Reason: "entry " + m.Node + " did not answer"}
+			}
+			continue
+		}
+		if r.Code == CodeUnknown {
+			unknown = r
+			continue
+		}
+		if r.Code != CodeLocal && r.Code != CodeRefused {
+			return r, m.Node
+		}
+	}
+	if unknown.Code != "" {
+		return unknown, "elsewhere"
+	}
+	if c.Action == ActionState {
+		if r := a.serveHere(ctx, c, true); r.Code == CodeDone {
+			return r, "here, by old knowledge"
+		}
+	}
+	return Reply{Code: CodeRefused, Reason: "no entry reaches the store"}, "nowhere"
+}
+
+func neverSent(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
+// peers returns the other entries, the leader first.
+func (a *Admitter) peers() []archiver.Member {
+	var ms []archiver.Member
+	var leader archiver.Member
+	a.Documents.Each(func(i archiver.Item) bool {
+		kind, _ := archiver.ParseKey(i.Key)
+		if kind != archiver.KindEntry && kind != archiver.KindLeader {
+			return true
+		}
+		var m archiver.Member
+		if err := archiver.Decode(i.Value, &m); err != nil {
+			a.Log.Error("document not readable", "key", i.Key, "err", err)
+			return true
+		}
+		if kind == archiver.KindLeader {
+			leader = m
+		} else if m.Node != a.Node {
+			ms = append(ms, m)
+		}
+		return true
+	})
+	for i := range ms {
+		if ms[i].Node == leader.Node {
+			ms[0], ms[i] = ms[i], ms[0]
+		}
+	}
+	return ms
+}
+
+// peerTransport is shared by all calls between entries.
+var peerTransport = &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: 400 * time.Millisecond, KeepAlive: 5 * time.Second}).DialContext,
+	MaxIdleConnsPerHost: 4,
+	IdleConnTimeout:     20 * time.Second,
+	DisableCompression:  true,
+}
+
+func (a *Admitter) callPeer(ctx context.Context, m archiver.Member, c Call) (Reply, error) {
+	var r Reply
+	body, err := cbor.Marshal(c)
+	if err != nil {
+		return r, err
+	}
+	data, err := peerCall(ctx, m.Address, CallPath, body, c.Timeout+200*time.Millisecond)
+	if err != nil {
+		return r, err
+	}
+	return r, cbor.Unmarshal(data, &r)
+}
+
+func peerCall(ctx context.Context, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	answer, err := peerTransport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxCall))
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("entry answered %s", answer.Status)
+	}
+	return data, nil
+}
+
+// PeerHandler serves other entries.
+func (a *Admitter) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+CallPath, func(w http.ResponseWriter, r *http.Request) {
+		var c Call
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCall))
+		if err == nil {
+			err = cbor.Unmarshal(data, &c)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		c.Forwarded = true
+		a.write(w, a.Serve(context.WithoutCancel(r.Context()), c))
+	})
+	mux.HandleFunc("POST "+PlanPath, func(w http.ResponseWriter, r *http.Request) { a.write(w, a.news()) })
+	return mux
+}
+
+// News is what an entry that reaches the store tells one that does not.
+type News struct {
+	// Fresh is false when the entry may itself be out of date.
+	Fresh bool
+	// Items are the operators' keys.
+	Items []archiver.Item
+}
+
+func (a *Admitter) news() News {
+	n := News{Fresh: a.confirmedWithin(fresh)}
+	a.Operators.Each(func(i archiver.Item) bool {
+		n.Items = append(n.Items, i)
+		return true
+	})
+	return n
+}
+
+func (a *Admitter) write(w http.ResponseWriter, answer any) {
+	data, err := cbor.Marshal(answer)
+	if err != nil {
+		a.Log.Error("answer not encoded", "err", err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(data); err != nil {
+		a.Log.Debug("answer not delivered", "err", err)
+	}
+}
+
+// FollowPeers asks other entries for the operators' keys while the store does not answer here.
+func (a *Admitter) FollowPeers(ctx context.Context) {
+	for pause(ctx, planEvery) {
+		if a.confirmedWithin(fresh) || a.Documents.Confirmed().IsZero() {
+			continue
+		}
+		for _, m := range a.peers() {
+			if a.learnFrom(ctx, m) {
+				break
+			}
+		}
+	}
+}
+
+func (a *Admitter) learnFrom(ctx context.Context, m archiver.Member) bool {
+	data, err := peerCall(ctx, m.Address, PlanPath, nil, storeTimeout)
+	var n News
+	if err == nil {
+		err = cbor.Unmarshal(data, &n)
+	}
+	if err != nil {
+		a.Log.Debug("entry did not tell the configuration", "node", m.Node, "err", err)
+		return false
+	}
+	for _, i := range n.Items {
+		a.Operators.Note(i)
+	}
+	return n.Fresh
+}
--- /dev/null
+++ b/internal/planner/plan.go
@@ -0,0 +1,273 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// dueMargin delays a timed start a little, since clocks of machines differ by milliseconds.
+const dueMargin = 20 * time.Millisecond
+
+// Levels of urgency. Work of a lower level goes first; levels up to levelUrgent may preempt higher ones.
+const (
+	// levelGuaranteed is priority 0 within the workspace's guarantee.
+	levelGuaranteed = iota
+	// levelUrgent is priority 0 beyond it.
+	levelUrgent
+	// levelOther is the first level of all other priorities.
+	levelOther
+)
+
+// group is what is placed together: a whole gang, or the waiting tasks of one step.
+type group struct {
+	job        *job
+	occurrence int
+	step       int
+	// indexes of the tasks to place.
+	indexes []int
+	level   int
+	// late is set when even an immediate start cannot end inside three objectives.
+	late     bool
+	deadline time.Time
+}
+
+// Plan returns the orders that follow from all that is known.
+func (c *Core) Plan(now time.Time) []Order {
+	c.recheck = time.Time{}
+	var orders []Order
+	for _, j := range c.sortedJobs() {
+		orders = append(orders, c.stopUnwanted(j, now)...)
+	}
+	orders = append(orders, c.stopStalled(now)...)
+	orders = append(orders, c.stopLeaving(now)...)
+	p := c.newPass(now)
+	for _, g := range c.groups(now) {
+		orders = append(orders, p.place(g)...)
+	}
+	return orders
+}
+
+// stopUnwanted ends workloads that were cancelled and stops what runs of ended ones and of broken gangs.
+func (c *Core) stopUnwanted(j *job, now time.Time) []Order {
+	if j.record.Cancelled && j.pending() {
+		c.setState(j, JobCancelled)
+		c.note("workload cancelled", j.id())
+	}
+	var orders []Order
+	for id, r := range j.live {
+		if !j.pending() {
+			orders = append(orders, c.stop(r, now, "workload has ended: "+j.progress.State.String())...)
+			continue
+		}
+		if j.step(id.Step).Gang && c.broken(j, r) {
+			orders = append(orders, c.stop(r, now, "another member of the gang is gone")...)
+		}
+	}
+	slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Run.Task.String(), b.Run.Task.String()) })
+	return orders
+}
+
+// broken reports whether some member of the run's gang has no run with the same number.
+func (c *Core) broken(j *job, r *run) bool {
+	id := r.id.Task
+	for i, t := range j.tasks(id.Occurrence, id.Step) {
+		id.Index = i
+		if t.State != TaskPlaced || t.Run != r.id.Run || j.live[id] == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// stop orders the end of a run and repeats it while the run stays.
+func (c *Core) stop(r *run, now time.Time, reason string) []Order {
+	if r.stopping && now.Sub(r.stopSent) < stopRetry {
+		c.wakeAt(r.stopSent.Add(stopRetry))
+		return nil
+	}
+	r.stopping, r.stopSent = true, now
+	c.wakeAt(now.Add(stopRetry))
+	return []Order{{Node: r.worker.node, Life: r.worker.life, Run: r.id, Stop: true, Reason: reason}}
+}
+
+// stopStalled moves tasks that show no progress and sets their workers apart.
+func (c *Core) stopStalled(now time.Time) []Order {
+	var orders []Order
+	for _, w := range c.sortedWorkers() {
+		if now.Sub(w.observed) > reachWindow {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.stopping && now.Sub(r.stopSent) >= stopRetry {
+				orders = append(orders, c.stop(r, now, "stop repeated")...)
+				continue
+			}
+			if !c.stalled(r, now) {
+				continue
+			}
+			orders = append(orders, c.stop(r, now, fmt.Sprintf("no progress for %v at %d percent",
+				now.Sub(r.moved).Round(time.Millisecond), r.percent))...)
+			c.setApart(w, now, "a task stands still")
+		}
+	}
+	return orders
+}
+
+// stalled reports whether a run stands still through no fault of a missing gang member.
+func (c *Core) stalled(r *run, now time.Time) bool {
+	if r.job == nil || !r.seen || r.stopping || !r.job.pending() || r.job.step(r.id.Task.Step).Service {
+		return false
+	}
+	limit := stallAfter + time.Duration(stallShare*float64(c.expected(r.job, r.id.Task.Step)))
+	if r.job.step(r.id.Task.Step).Gang {
+		limit += c.gangDelay(r)
+	}
+	if now.Sub(r.moved) < limit {
+		c.wakeAt(r.moved.Add(limit))
+		return false
+	}
+	// A worker that was not heard of for a while reports old figures first.
+	return true
+}
+
+// gangDelay is how much later than r the last member of its gang was seen.
+func (c *Core) gangDelay(r *run) time.Duration {
+	last := r.started
+	id := r.id.Task
+	for i := range r.job.tasks(id.Occurrence, id.Step) {
+		id.Index = i
+		if m := r.job.live[id]; m != nil && m.started.After(last) {
+			last = m.started
+		}
+	}
+	return last.Sub(r.started)
+}
+
+// stopLeaving moves tasks off workers that leave before the tasks can end.
+func (c *Core) stopLeaving(now time.Time) []Order {
+	var orders []Order
+	for _, w := range c.sortedWorkers() {
+		if !w.known || !w.status.Draining || w.status.Remaining <= 0 {
+			continue
+		}
+		left := time.Duration(w.status.Remaining)*time.Millisecond - now.Sub(w.observed)
+		for _, r := range w.runs {
+			if r.stopping || r.job == nil || c.remaining(r, now) < left {
+				continue
+			}
+			orders = append(orders, c.stop(r, now, fmt.Sprintf("worker leaves in %v", left.Round(time.Millisecond)))...)
+		}
+	}
+	return orders
+}
+
+// groups returns all that could start now, the most urgent first.
+func (c *Core) groups(now time.Time) []group {
+	within := c.guaranteed()
+	var gs []group
+	for _, j := range c.sortedJobs() {
+		if !j.pending() {
+			continue
+		}
+		waiting := false
+		for k := range j.record.Workload.Occurrences() {
+			if o := j.occurrence(k); o != nil && o.Done {
+				continue
+			}
+			if due := j.record.Workload.Due(k); !due.IsZero() && now.Before(due.Add(dueMargin)) {
+				c.wakeAt(due.Add(dueMargin))
+				break
+			}
+			for s := range j.record.Workload.Steps {
+				if g, ok := c.group(j, k, s); ok {
+					g.level = level(j, within)
+					g.deadline = c.objective(j, k)
+					budget := g.deadline.Sub(j.arrived)
+					g.late = now.After(j.arrived.Add(3 * budget))
+					gs = append(gs, g)
+					waiting = true
+				}
+			}
+		}
+		if !waiting {
+			j.waitingSince = time.Time{}
+		} else if j.waitingSince.IsZero() {
+			j.waitingSince = now
+		}
+	}
+	slices.SortStableFunc(gs, func(a, b group) int {
+		return cmp.Or(cmp.Compare(a.level, b.level), boolCompare(a.late, b.late), a.deadline.Compare(b.deadline))
+	})
+	return gs
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// group returns the tasks of a step that wait, when the step's turn has come.
+func (c *Core) group(j *job, k, s int) (group, bool) {
+	if j.stepDone(k, s) || !j.stepReady(k, s) {
+		return group{}, false
+	}
+	tasks := j.tasks(k, s)
+	g := group{job: j, occurrence: k, step: s}
+	for i := range tasks {
+		id := descriptor.TaskID{Job: j.id(), Occurrence: k, Step: s, Index: i}
+		if tasks[i].State == TaskPending && j.live[id] == nil {
+			g.indexes = append(g.indexes, i)
+		}
+	}
+	if len(g.indexes) == 0 || j.step(s).Gang && len(g.indexes) < len(tasks) {
+		return group{}, false
+	}
+	return g, true
+}
+
+func level(j *job, within map[descriptor.JobID]bool) int {
+	switch {
+	case within[j.id()]:
+		return levelGuaranteed
+	case j.record.Workload.Priority == 0:
+		return levelUrgent
+	}
+	return levelOther + j.record.Workload.Priority - 1
+}
+
+// guaranteed returns the workloads of priority 0 that fit into their workspace's guarantee, the oldest first.
+func (c *Core) guaranteed() map[descriptor.JobID]bool {
+	urgent := slices.DeleteFunc(c.sortedJobs(), func(j *job) bool {
+		return !j.pending() || j.record.Workload.Priority != 0
+	})
+	slices.SortStableFunc(urgent, func(a, b *job) int { return a.arrived.Compare(b.arrived) })
+	used := map[descriptor.WorkspaceID]descriptor.Accelerators{}
+	within := map[descriptor.JobID]bool{}
+	for _, j := range urgent {
+		w := j.record.Workload.Workspace
+		if need := accelerators(j); used[w]+need <= c.guarantees[w] {
+			used[w] += need
+			within[j.id()] = true
+		}
+	}
+	return within
+}
+
+// accelerators is the most that a workload needs at one time, taken as its largest step.
+func accelerators(j *job) descriptor.Accelerators {
+	var most descriptor.Accelerators
+	for i := range j.record.Workload.Steps {
+		s := j.step(i)
+		most = max(most, descriptor.Accelerators(s.Count)*s.Size.Accelerators)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/planner/preemption.go
@@ -0,0 +1,161 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// levelCost makes victims of the next more urgent level that much dearer.
+const levelCost = 1.5
+
+// unit is what a preemption stops together: a task, or all members of a gang.
+type unit struct {
+	runs []*run
+	cost float64
+}
+
+// victims returns the cheapest units to stop so that n tasks fit into the pool.
+func (p *pass) victims(g group, pool []*worker, need descriptor.Capacity, n int) ([]*unit, float64, bool) {
+	free := map[*worker]descriptor.Capacity{}
+	for _, w := range pool {
+		free[w] = p.room[w].Plus(p.coming[w])
+	}
+	limit := limitOf(g.job.step(g.step))
+	fits := func() bool {
+		sum := 0
+		for _, w := range pool {
+			sum += free[w].Copies(need, min(n, limit))
+		}
+		return sum >= n
+	}
+	take := func(u *unit, sign int) {
+		for _, r := range u.runs {
+			if f, ok := free[r.worker]; ok {
+				free[r.worker] = f.Plus(r.need.Times(sign))
+			}
+		}
+	}
+	var chosen []*unit
+	for _, u := range p.units(g, pool) {
+		if fits() {
+			break
+		}
+		take(u, 1)
+		chosen = append(chosen, u)
+	}
+	if !fits() {
+		return nil, 0, false
+	}
+	// Drops those that turned out not to be needed, the dearest first.
+	for i := len(chosen) - 1; i >= 0; i-- {
+		take(chosen[i], -1)
+		if fits() {
+			chosen = slices.Delete(chosen, i, i+1)
+			continue
+		}
+		take(chosen[i], 1)
+	}
+	cost := 0.0
+	for _, u := range chosen {
+		cost += u.cost
+	}
+	return chosen, cost, true
+}
+
+// units returns what may be stopped for g on the pool, the cheapest first.
+func (p *pass) units(g group, pool []*worker) []*unit {
+	within := p.core.guaranteed()
+	var units []*unit
+	taken := map[*run]bool{}
+	for _, w := range pool {
+		for _, r := range w.runs {
+			if taken[r] || r.stopping || r.job == nil || r.job.step(r.id.Task.Step).MayMiss > 0 {
+				continue
+			}
+			if l := level(r.job, within); l > g.level {
+				u := p.unitOf(r)
+				u.cost *= 1 + levelCost/float64(1+l)
+				for _, m := range u.runs {
+					taken[m] = true
+				}
+				units = append(units, u)
+			}
+		}
+	}
+	slices.SortFunc(units, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.runs[0].id.Task.String(), b.runs[0].id.Task.String()))
+	})
+	return units
+}
+
+// unitOf returns the unit of a run and the core-seconds that stopping it throws away.
+func (p *pass) unitOf(r *run) *unit {
+	u := &unit{runs: []*run{r}}
+	id := r.id.Task
+	if r.job.step(id.Step).Gang {
+		u.runs = nil
+		for i := range r.job.tasks(id.Occurrence, id.Step) {
+			id.Index = i
+			if m := r.job.live[id]; m != nil {
+				u.runs = append(u.runs, m)
+			}
+		}
+	}
+	for _, m := range u.runs {
+		lost := p.now.Sub(m.started)
+		if !m.seen {
+			lost = 0
+		}
+		if m.job.step(m.id.Task.Step).SavesProgress {
+			lost = min(lost, p.core.Limits.CheckpointEvery) + p.core.Limits.Restore
+		}
+		u.cost += m.need.CoreSeconds(lost + 100*time.Millisecond)
+	}
+	return u
+}
+
+// preemptFor frees room for a gang in the pool where that costs least.
+func (p *pass) preemptFor(g group, s *descriptor.Step, pools [][]*worker, need descriptor.Capacity, n int) []Order {
+	var best []*unit
+	var bestPool []*worker
+	bestCost := 0.0
+	for _, pool := range pools {
+		victims, cost, ok := p.victims(g, pool, need, n)
+		if !ok {
+			continue
+		}
+		if s.DataRack != "" && pool[0].status.Rack != s.DataRack {
+			cost *= p.core.Limits.FarFactor
+		}
+		if bestPool == nil || cost < bestCost {
+			best, bestPool, bestCost = victims, pool, cost
+		}
+	}
+	if bestPool == nil {
+		return nil
+	}
+	orders := p.preempt(g, best, bestCost)
+	if ws := p.fill(g, s, bestPool, need, n, true); ws != nil {
+		p.promiseAll(ws, need)
+	}
+	return orders
+}
+
+// preempt orders the stop of units; what they free is promised by the caller.
+func (p *pass) preempt(g group, units []*unit, cost float64) []Order {
+	var orders []Order
+	for _, u := range units {
+		for _, r := range u.runs {
+			orders = append(orders, p.core.stop(r, p.now, fmt.Sprintf("preempted by %s at level %d, cost %.1f core-seconds",
+				g.job.id(), g.level, cost))...)
+			if _, ok := p.coming[r.worker]; ok {
+				p.coming[r.worker] = p.coming[r.worker].Plus(r.need)
+			}
+		}
+	}
+	return orders
+}
