--- a/internal/archiver/mirror.go
+++ b/internal/archiver/mirror.go
@@ -13,6 +13,8 @@
 	// watchWait is how long a watch waits for a change. A silent connection is noticed within it and the client's
 	// own slack, inside the 2.5 s in which a configuration must be in force.
 	watchWait = 1200 * time.Millisecond
+	// readTimeout bounds the reading of all documents: tens of pages from a store that takes 0.3 s for each.
+	readTimeout = 4 * time.Second
 	// retryWait is the pause after a failed call; a few calls a second are within the store's rates.
 	retryWait = 150 * time.Millisecond
 	// maxRetryWait bounds the doubled pauses of a store that stays away.
@@ -60,7 +62,9 @@
 
 func (m *Mirror) load(ctx context.Context) (Revision, error) {
 	sent := time.Now()
-	items, revision, err := m.Store.ReadAll(ctx, m.Prefix)
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	items, revision, err := m.Store.ReadAll(readCtx, m.Prefix)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/archiver/store.go
+++ b/internal/archiver/store.go
@@ -92,13 +92,18 @@
 	End    func(ctx context.Context, id LeaseID) error
 }
 
+// pageTimeout bounds one page, so that a silent connection does not use up the time for all of them.
+const pageTimeout = 900 * time.Millisecond
+
 // ReadAll returns all keys with the prefix and the revision before which none of their changes is missing.
 func (s *Store) ReadAll(ctx context.Context, prefix string) ([]Item, Revision, error) {
 	var all []Item
 	var first Revision
 	after := ""
 	for {
-		items, more, current, err := s.Range(ctx, prefix, after)
+		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
+		items, more, current, err := s.Range(pageCtx, prefix, after)
+		cancel()
 		if err != nil {
 			return nil, 0, err
 		}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,248 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// An ended member of a gang whose worker has not listed its end yet is no victim; a preemption stopped with an index
+// out of range there.
+func TestEndedMemberIsNoVictim(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("old", 3, 8, 5*time.Second, priority(1), gang)
+	r.plan()
+	assert.Equal(t, len(r.running("old")), 3)
+	node, run := r.runOf("old", 0)
+	r.end(node, run, descriptor.OutcomeDone)
+	r.reportOne(node)
+	assert.Equal(t, r.state("old"), JobDone)
+	r.submit("urgent", 3, 8, 2*time.Second, priority(0), gang)
+	r.plan()
+	assert.Equal(t, len(r.running("urgent")), 0)
+}
+
+// A gang is placed whole or not at all.
+func TestGangNeverStartsInPart(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("holder", 1, 8, 5*time.Second, priority(1))
+	r.plan()
+	r.submit("gang", 3, 8, 5*time.Second, priority(1), gang)
+	r.plan()
+	assert.Equal(t, len(r.running("gang")), 0)
+	node, run := r.runOf("holder", 0)
+	r.end(node, run, descriptor.OutcomeDone)
+	r.report()
+	r.plan()
+	assert.Equal(t, len(r.running("gang")), 3)
+}
+
+// When a member of a gang is lost, the others are stopped and the whole gang starts again with one new run number.
+func TestGangIsRestartedWhole(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("gang", 3, 8, 5*time.Second, sameRack)
+	r.plan()
+	node, _ := r.runOf("gang", 1)
+	r.core.LoseNode(node, r.now, "test")
+	delete(r.present, node)
+	r.plan()
+	r.report()
+	r.plan()
+	assert.Equal(t, len(r.running("gang")), 3)
+	for i := range 3 {
+		_, run := r.runOf("gang", i)
+		assert.Equal(t, run.Run, 2)
+	}
+}
+
+// A task must not start again while its former run may still act: silence of the agent proves nothing.
+func TestSilenceStartsNothingTwice(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("job", 1, 1, 5*time.Second)
+	r.plan()
+	r.now = r.now.Add(8 * time.Second)
+	r.plan()
+	assert.Equal(t, len(r.orders), 1)
+}
+
+// A new life of a worker ends all runs of the former one, and their tasks go elsewhere.
+func TestNewLifeFreesTasks(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("job", 1, 1, 5*time.Second)
+	r.plan()
+	node, _ := r.runOf("job", 0)
+	s := r.status[node]
+	s.Life.Born = 2
+	r.status[node] = s
+	clear(r.present[node])
+	r.report()
+	r.plan()
+	_, run := r.runOf("job", 0)
+	assert.Equal(t, run.Run, 2)
+}
+
+// A list that was made before a start was answered does not prove that the run is gone.
+func TestOldListDoesNotEndNewRun(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("job", 1, 1, 5*time.Second)
+	orders := r.core.Plan(r.now)
+	assert.Equal(t, len(orders), 1)
+	o := orders[0]
+	r.core.Started(o.Node, o.Life, o.Run, r.clock+50, r.now)
+	r.clock += 10
+	r.core.Observe(Observation{Node: o.Node, Status: r.status[o.Node], Clock: r.clock, Received: r.now})
+	assert.Equal(t, len(r.core.Plan(r.now)), 0)
+}
+
+// An unanswered start may act until its bound on the worker's clock, and not after.
+func TestUnansweredStartIsGivenUpAtItsBound(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("job", 1, 1, 5*time.Second)
+	o := r.core.Plan(r.now)[0]
+	r.core.SetStartBy(o.Node, o.Run, r.clock+2500)
+	for _, step := range []struct {
+		clock descriptor.WorkerClock
+		again int
+	}{{r.clock + 2500, 0}, {r.clock + 2501, 1}} {
+		r.core.Observe(Observation{Node: o.Node, Status: r.status[o.Node], Clock: step.clock, Received: r.now})
+		assert.Equal(t, len(r.core.Plan(r.now)), step.again)
+	}
+}
+
+// The attempts of a task are bounded, and the workload is shown as failed only when they are used up.
+func TestAttemptsAreBounded(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("bad", 1, 1, 5*time.Second)
+	for n := 1; n <= 3; n++ {
+		r.plan()
+		node, run := r.runOf("bad", 0)
+		assert.Equal(t, run.Run, n)
+		r.end(node, run, descriptor.OutcomeFailed)
+		r.report()
+	}
+	r.plan()
+	assert.Equal(t, r.state("bad"), JobFailed)
+	assert.Equal(t, len(r.running("bad")), 0)
+}
+
+// A failed attempt is repeated on another worker, since one bad worker would use up all attempts.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("job", 1, 1, 5*time.Second)
+	r.plan()
+	first, run := r.runOf("job", 0)
+	r.end(first, run, descriptor.OutcomeFailed)
+	r.report()
+	r.plan()
+	second, _ := r.runOf("job", 0)
+	assert.Assert(t, first != second)
+}
+
+// Nothing starts in a failure domain that is out, nor on a worker that drains.
+func TestNothingStartsOnLeavingWorkers(t *testing.T) {
+	r := newRig(t, 1)
+	r.core.SetOut(map[descriptor.FailureDomainID]bool{"fd": true})
+	r.submit("job", 1, 1, 5*time.Second)
+	assert.Equal(t, len(r.plan()), 0)
+	r.core.SetOut(nil)
+	for node, s := range r.status {
+		s.Draining = true
+		r.status[node] = s
+	}
+	r.report()
+	assert.Equal(t, len(r.plan()), 0)
+}
+
+// A cancelled workload is stopped, and what runs of it is not started again.
+func TestCancelledWorkloadStops(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("job", 2, 1, 5*time.Second)
+	r.plan()
+	p, _ := r.core.Progress("job")
+	assert.Equal(t, p.State, JobRunning)
+	j := r.core.jobs["job"].record
+	j.Cancelled = true
+	r.core.Submit(j, r.now)
+	r.plan()
+	r.report()
+	assert.Equal(t, len(r.running("job")), 0)
+	assert.Equal(t, len(r.plan()), 0)
+	assert.Equal(t, r.state("job"), JobCancelled)
+}
+
+// A step waits for all tasks of the steps that it comes after.
+func TestStepsInOrder(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("job", 2, 1, 5*time.Second, func(w *descriptor.Workload) {
+		w.Steps = append(w.Steps, w.Steps[0])
+		w.Steps[1].After = []int{0}
+	})
+	r.plan()
+	assert.Equal(t, len(r.running("job")), 2)
+	node, run := r.runOf("job", 0)
+	r.end(node, run, descriptor.OutcomeDone)
+	r.report()
+	r.plan()
+	assert.Equal(t, len(r.running("job")), 1)
+	node, run = r.runOf("job", 1)
+	r.end(node, run, descriptor.OutcomeDone)
+	r.report()
+	r.plan()
+	assert.Equal(t, len(r.running("job")), 2)
+}
+
+// Timed work does not start before it is due.
+func TestTimedWorkWaits(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("timed", 1, 1, time.Second, func(w *descriptor.Workload) {
+		w.Times, w.FirstDue, w.Interval = 2, r.now.Add(time.Second), time.Second
+	})
+	assert.Equal(t, len(r.plan()), 0)
+	r.pass(900 * time.Millisecond)
+	assert.Equal(t, len(r.running("timed")), 0)
+	r.pass(200 * time.Millisecond)
+	assert.Equal(t, len(r.running("timed")), 1)
+	r.pass(time.Second)
+	assert.Equal(t, len(r.running("timed")), 2)
+}
+
+// A worker that fails the tasks of two workloads gets no more work for a while.
+func TestFailingWorkerIsSetApart(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("a", 1, 1, 5*time.Second, priority(1))
+	r.submit("b", 1, 1, 5*time.Second, priority(1))
+	r.plan()
+	bad, first := r.runOf("a", 0)
+	node, second := r.runOf("b", 0)
+	assert.Equal(t, node, bad)
+	r.end(bad, first, descriptor.OutcomeFailed)
+	r.end(bad, second, descriptor.OutcomeFailed)
+	r.pass(2 * time.Second)
+	assert.Assert(t, r.now.Before(r.core.workers[bad].quarantined))
+	for _, id := range []descriptor.JobID{"a", "b"} {
+		node, _ := r.runOf(id, 0)
+		assert.Assert(t, node != bad)
+	}
+}
+
+// A task that stands still is moved, and its worker is set apart.
+func TestStalledTaskMoves(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("job", 1, 1, 5*time.Second)
+	r.plan()
+	first, _ := r.runOf("job", 0)
+	for r.stops() == 0 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.report()
+		r.plan()
+		assert.Assert(t, r.now.Before(time.Unix(1005, 0)))
+	}
+	r.report()
+	r.plan()
+	second, run := r.runOf("job", 0)
+	assert.Equal(t, run.Run, 2)
+	assert.Assert(t, first != second)
+}
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -73,7 +73,7 @@
 	taken := map[*run]bool{}
 	for _, w := range pool {
 		for _, r := range w.runs {
-			if taken[r] || r.stopping || r.job == nil || r.job.step(r.id.Task.Step).MayMiss > 0 {
+			if taken[r] || r.stopping || !r.current() || r.job.step(r.id.Task.Step).MayMiss > 0 {
 				continue
 			}
 			if l := level(r.job, within); l > g.level {
@@ -92,6 +92,10 @@
 	return units
 }
 
+// current reports whether r is still its task's run; an ended member of a gang keeps its room until the worker lists
+// its end.
+func (r *run) current() bool { return r.job != nil && r.job.live[r.id.Task] == r }
+
 // unitOf returns the unit of a run and the core-seconds that stopping it throws away.
 func (p *pass) unitOf(r *run) *unit {
 	u := &unit{runs: []*run{r}}
