--- a/cmd/persimmontrail-node/entry.go
+++ b/cmd/persimmontrail-node/entry.go
@@ -39,7 +39,9 @@
 			}
 			return out
 		},
-		Limits:  planner.Limits{FarFactor: s.FarFactor, CheckpointEvery: s.CheckpointEvery, Restore: s.Restore},
+		Limits: planner.Limits{
+			FarFactor: s.FarFactor, CheckpointEvery: s.CheckpointEvery, Restore: s.Restore, StopGrace: s.StopGrace, Reclaim: s.Reclaim,
+		},
 		MaxHold: s.MaxHold, KeepFinal: s.KeepFinal + s.KeepFinal/2, Log: p.log, Metrics: p.metrics,
 	}
 	documents.Changed = d.Changed
--- /dev/null
+++ b/internal/planner/forecast.go
@@ -0,0 +1,85 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// stopMargin is how much longer than its grace a stop takes until the room is known to be free: two ways to the worker
+// and one write.
+const stopMargin = 300 * time.Millisecond
+
+// forecast returns when n tasks will fit into a pool without any preemption, and where. It counts room that is promised
+// to nobody, runs that are being stopped, and the expected ends of all others.
+func (p *pass) forecast(g group, pool []*worker, need descriptor.Capacity, n int) (time.Duration, placement) {
+	s := g.job.step(g.step)
+	free := map[*worker]descriptor.Capacity{}
+	room := func(w *worker) descriptor.Capacity { return free[w] }
+	type ending struct {
+		run *run
+		in  time.Duration
+	}
+	var endings []ending
+	for _, w := range pool {
+		free[w] = p.room[w].Plus(p.coming[w])
+		for _, r := range w.runs {
+			if !r.stopping && r.job != nil && !r.job.step(r.id.Task.Step).Service {
+				endings = append(endings, ending{r, p.core.remaining(r, p.now)})
+			}
+		}
+	}
+	if ws := pack(pool, room, need, n, limitOf(s)); ws != nil {
+		return p.core.Limits.StopGrace, ws
+	}
+	slices.SortFunc(endings, func(a, b ending) int {
+		return cmp.Or(cmp.Compare(a.in, b.in), cmp.Compare(a.run.id.Task.String(), b.run.id.Task.String()))
+	})
+	for _, e := range endings {
+		free[e.run.worker] = free[e.run.worker].Plus(e.run.need)
+		if ws := pack(pool, room, need, n, limitOf(s)); ws != nil {
+			return e.in, ws
+		}
+	}
+	return 0, nil
+}
+
+// slackLeft is how long an urgent group can wait for room before it must preempt to start in time.
+func (p *pass) slackLeft(g group) time.Duration {
+	stop := p.core.Limits.StopGrace + stopMargin
+	left := g.deadline.Add(-p.core.chainLeft(g.job, g.occurrence)).Sub(p.now) - stop
+	if g.level == levelGuaranteed {
+		left = min(left, g.job.from(g.occurrence).Add(p.core.Limits.Reclaim).Sub(p.now)-2*stop)
+	}
+	return left
+}
+
+// waitFor promises room that is expected to be free soon enough for an urgent group. It reports whether it did.
+func (p *pass) waitFor(g group, s *descriptor.Step, pools [][]*worker, need descriptor.Capacity, n int) bool {
+	limit := p.slackLeft(g)
+	if limit <= 0 {
+		return false
+	}
+	var best placement
+	var bestIn time.Duration
+	for _, pool := range pools {
+		in, ws := p.forecast(g, pool, need, n)
+		if ws == nil {
+			continue
+		}
+		if s.DataRack != "" && pool[0].status.Rack != s.DataRack {
+			// A start far from its data ends later by the distance.
+			in += time.Duration((p.core.Limits.FarFactor - 1) * float64(p.core.expected(g.job, g.step)))
+		}
+		if in <= limit && (best == nil || in < bestIn) {
+			best, bestIn = ws, in
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.promiseAll(best, need)
+	return true
+}
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -170,6 +170,9 @@
 			return w
 		}
 	}
+	if p.waitFor(g, s, [][]*worker{able}, need, 1) {
+		return able[0]
+	}
 	var best *worker
 	var bestVictims []*unit
 	bestCost := 0.0
@@ -182,7 +185,7 @@
 			best, bestVictims, bestCost = w, victims, cost
 		}
 	}
-	if best == nil {
+	if best == nil || !p.worthIt(g, bestVictims) {
 		return nil
 	}
 	*orders = append(*orders, p.preempt(g, bestVictims, bestCost)...)
@@ -207,6 +210,9 @@
 			p.promiseAll(ws, need)
 			return nil
 		}
+		if p.waitFor(g, s, pools, need, n) {
+			return nil
+		}
 		if orders := p.preemptFor(g, s, pools, need, n); orders != nil {
 			return orders
 		}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -30,8 +30,8 @@
 	// indexes of the tasks to place.
 	indexes []int
 	level   int
-	// late is set when even an immediate start cannot end inside three objectives.
-	late     bool
+	// density orders groups of one level.
+	density  float64
 	deadline time.Time
 }
 
@@ -186,8 +186,7 @@
 				if g, ok := c.group(j, k, s); ok {
 					g.level = level(j, within)
 					g.deadline = c.objective(j, k)
-					budget := g.deadline.Sub(j.arrived)
-					g.late = now.After(j.arrived.Add(3 * budget))
+					g.density = c.density(j, k, now)
 					gs = append(gs, g)
 					waiting = true
 				}
@@ -200,20 +199,13 @@
 		}
 	}
 	slices.SortStableFunc(gs, func(a, b group) int {
-		return cmp.Or(cmp.Compare(a.level, b.level), boolCompare(a.late, b.late), a.deadline.Compare(b.deadline))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.density, a.density), a.deadline.Compare(b.deadline))
 	})
 	return gs
 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
+// rank puts guaranteed work before all other, which goes by density.
+func (g *group) rank() int { return min(g.level, levelUrgent) }
 
 // group returns the tasks of a step that wait, when the step's turn has come.
 func (c *Core) group(j *job, k, s int) (group, bool) {
@@ -261,13 +253,3 @@
 	}
 	return within
 }
-
-// accelerators is the most that a workload needs at one time, taken as its largest step.
-func accelerators(j *job) descriptor.Accelerators {
-	var most descriptor.Accelerators
-	for i := range j.record.Workload.Steps {
-		s := j.step(i)
-		most = max(most, descriptor.Accelerators(s.Count)*s.Size.Accelerators)
-	}
-	return most
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -35,6 +35,10 @@
 	CheckpointEvery time.Duration
 	// Restore is how long a start from a checkpoint takes.
 	Restore time.Duration
+	// StopGrace is how long a stop may take.
+	StopGrace time.Duration
+	// Reclaim is the time in which guaranteed work must begin.
+	Reclaim time.Duration
 }
 
 // Core is the decision core. Its zero value knows no workers and no workloads.
@@ -52,6 +56,8 @@
 	dirty map[descriptor.JobID]bool
 	// history holds the mean run time of the tasks that ended well, by queue.
 	history map[descriptor.QueueID]*runTimes
+	// works holds the mean work of the workloads of a queue.
+	works map[descriptor.QueueID]*meanWork
 	// recheck is the earliest time at which a plan may differ without a new event.
 	recheck time.Time
 }
@@ -104,7 +110,7 @@
 		Limits: limits,
 		jobs:   map[descriptor.JobID]*job{}, workers: map[string]*worker{}, out: map[descriptor.FailureDomainID]bool{},
 		guarantees: map[descriptor.WorkspaceID]descriptor.Accelerators{}, dirty: map[descriptor.JobID]bool{},
-		history: map[descriptor.QueueID]*runTimes{},
+		history: map[descriptor.QueueID]*runTimes{}, works: map[descriptor.QueueID]*meanWork{},
 	}
 }
 
@@ -164,6 +170,7 @@
 		j.progress.Occurrences = map[int]*Occurrence{}
 	}
 	c.jobs[r.Workload.ID] = j
+	c.countWork(j)
 	return j
 }
 
@@ -305,12 +312,8 @@
 
 // objective returns when occurrence k should be done.
 func (c *Core) objective(j *job, k int) time.Time {
-	from := j.arrived
-	if due := j.record.Workload.Due(k); !due.IsZero() {
-		from = due
-	}
 	w := &j.record.Workload
-	return from.Add(time.Duration(w.Stretch*float64(c.chain(j))) + w.Slack)
+	return j.from(k).Add(time.Duration(w.Stretch*float64(c.chain(j))) + w.Slack)
 }
 
 // sortedWorkers returns the workers in a stable order.
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"time"
 
 	"persimmontrail/pkg/descriptor"
 )
@@ -12,10 +11,16 @@
 // levelCost makes victims of the next more urgent level that much dearer.
 const levelCost = 1.5
 
+// wasteRatio is how many core-seconds a preemption beyond a guarantee may throw away for each one that the urgent
+// workload takes. The users price wasted work at about a quarter of what urgent work is worth.
+const wasteRatio = 1.0
+
 // unit is what a preemption stops together: a task, or all members of a gang.
 type unit struct {
 	runs []*run
-	cost float64
+	// waste is the core-seconds that the stop throws away; cost also counts how urgent they are.
+	waste float64
+	cost  float64
 }
 
 // victims returns the cheapest units to stop so that n tasks fit into the pool.
@@ -92,6 +97,25 @@
 	return units
 }
 
+// smallCost in core-seconds is for the restart of a task that loses nothing.
+const smallCost = 5
+
+// worthIt reports whether an urgent group may stop the victims: always for a guarantee, else when little is lost.
+func (p *pass) worthIt(g group, victims []*unit) bool {
+	if g.level == levelGuaranteed {
+		return true
+	}
+	if p.core.chance(g.job, g.occurrence, p.now) == hopelessLate {
+		return false
+	}
+	waste := 0.0
+	for _, u := range victims {
+		waste += u.waste
+	}
+	_, left := p.core.work(g.job, g.occurrence)
+	return waste <= wasteRatio*left
+}
+
 // current reports whether r is still its task's run; an ended member of a gang keeps its room until the worker lists
 // its end.
 func (r *run) current() bool { return r.job != nil && r.job.live[r.id.Task] == r }
@@ -117,8 +141,9 @@
 		if m.job.step(m.id.Task.Step).SavesProgress {
 			lost = min(lost, p.core.Limits.CheckpointEvery) + p.core.Limits.Restore
 		}
-		u.cost += m.need.CoreSeconds(lost + 100*time.Millisecond)
+		u.waste += m.need.CoreSeconds(lost)
 	}
+	u.cost = u.waste + smallCost*float64(len(u.runs))
 	return u
 }
 
@@ -139,7 +164,7 @@
 			best, bestPool, bestCost = victims, pool, cost
 		}
 	}
-	if bestPool == nil {
+	if bestPool == nil || !p.worthIt(g, best) {
 		return nil
 	}
 	orders := p.preempt(g, best, bestCost)
