--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -124,6 +124,10 @@
 	}
 	limit := stallAfter + time.Duration(stallShare*float64(c.expected(r.job, r.id.Task.Step)))
 	if r.job.step(r.id.Task.Step).Gang {
+		if r.percent >= 100 {
+			// It waits for the other members, with which it ends together.
+			return false
+		}
 		limit += c.gangDelay(r)
 	}
 	if now.Sub(r.moved) < limit {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -246,3 +246,23 @@
 	assert.Equal(t, run.Run, 2)
 	assert.Assert(t, first != second)
 }
+
+// A member of a gang that has done its part waits for the slowest one; it does not stand still.
+func TestFinishedMemberIsNotStalled(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("gang", 2, 8, 5*time.Second, gang)
+	r.plan()
+	node, run := r.runOf("gang", 0)
+	for range 60 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.clock += 100
+		r.present[node][run] = descriptor.RunStatus{RunID: run, Percent: 100}
+		other, o := r.runOf("gang", 1)
+		s := r.present[other][o]
+		s.Percent = min(s.Percent+1, 99)
+		r.present[other][o] = s
+		r.report()
+		r.plan()
+	}
+	assert.Equal(t, r.stops(), 0)
+}
