--- a/internal/archiver/mirror.go
+++ b/internal/archiver/mirror.go
@@ -16,9 +16,9 @@
 	// readTimeout bounds the reading of all documents: tens of pages from a store that takes 0.3 s for each.
 	readTimeout = 4 * time.Second
 	// retryWait is the pause after a failed call; a few calls a second are within the store's rates.
-	retryWait = 150 * time.Millisecond
+	retryWait = 100 * time.Millisecond
 	// maxRetryWait bounds the doubled pauses of a store that stays away.
-	maxRetryWait = 600 * time.Millisecond
+	maxRetryWait = 250 * time.Millisecond
 )
 
 // Mirror keeps a copy of all keys with a prefix. It is used by pointer.
--- /dev/null
+++ b/internal/planner/claim.go
@@ -0,0 +1,84 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// claimMargin is how much longer than the grace of a stop a claim holds.
+const claimMargin = 1200 * time.Millisecond
+
+// claim is room for which a group has stopped others. Without it, other groups would take the room while the last
+// victims still stop, and the group would stop more elsewhere.
+type claim struct {
+	occurrence int
+	step       int
+	workers    []*worker
+	until      time.Time
+}
+
+// validClaim returns the claim of a step unless it has run out.
+func (j *job) validClaim(k, s int, now time.Time) *claim {
+	if c := j.claim; c != nil && c.occurrence == k && c.step == s && now.Before(c.until) {
+		return c
+	}
+	return nil
+}
+
+// claim adds workers to the claim of a group.
+func (p *pass) claim(g group, ws placement) {
+	c := g.job.validClaim(g.occurrence, g.step, p.now)
+	if c == nil {
+		c = &claim{occurrence: g.occurrence, step: g.step}
+		g.job.claim = c
+	}
+	c.workers = append(c.workers, ws...)
+	c.until = p.now.Add(p.core.Limits.StopGrace + claimMargin)
+}
+
+// placeClaimed starts a group where it has stopped others, or keeps the room until it is free. It reports false when
+// the claim no longer holds the group.
+func (p *pass) placeClaimed(g group, able []*worker) ([]Order, bool) {
+	pool := slices.DeleteFunc(slices.Clone(able), func(w *worker) bool { return !slices.Contains(g.claim.workers, w) })
+	s := g.job.step(g.step)
+	need := s.Need()
+	if s.Gang {
+		return p.claimGang(g, s, pool, need)
+	}
+	indexes := g.indexes
+	var orders []Order
+	for len(indexes) > 0 {
+		w := p.tightest(g, s, pool, need)
+		if w == nil {
+			break
+		}
+		orders = append(orders, p.start(g, indexes[:1], placement{w}, "claimed room free")...)
+		indexes = indexes[1:]
+	}
+	for range indexes {
+		for _, w := range pool {
+			if p.room[w].Plus(p.coming[w]).Holds(need) {
+				p.room[w] = p.room[w].Minus(need)
+				break
+			}
+		}
+	}
+	if len(indexes) == 0 {
+		g.job.claim = nil
+	}
+	return orders, len(orders) > 0 || len(pool) > 0
+}
+
+func (p *pass) claimGang(g group, s *descriptor.Step, pool []*worker, need descriptor.Capacity) ([]Order, bool) {
+	if ws := p.fill(g, s, pool, need, len(g.indexes), false); ws != nil {
+		g.job.claim = nil
+		return p.start(g, g.indexes, ws, "claimed room free"), true
+	}
+	if ws := p.fill(g, s, pool, need, len(g.indexes), true); ws != nil {
+		p.promiseAll(ws, need)
+		return nil, true
+	}
+	return nil, false
+}
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -44,6 +44,13 @@
 // place starts a group, or promises it room that is about to be free.
 func (p *pass) place(g group) []Order {
 	able := p.able(g)
+	if g.claim != nil {
+		orders, ok := p.placeClaimed(g, able)
+		if ok {
+			return orders
+		}
+		g.job.claim, g.claim = nil, nil
+	}
 	if g.job.step(g.step).Gang {
 		return p.placeGang(g, able)
 	}
@@ -189,6 +196,7 @@
 		return nil
 	}
 	*orders = append(*orders, p.preempt(g, bestVictims, bestCost)...)
+	p.claim(g, placement{best})
 	p.room[best] = p.room[best].Minus(need)
 	return best
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -33,6 +33,8 @@
 	// density orders groups of one level.
 	density  float64
 	deadline time.Time
+	// claim is room for which others were stopped; nil when there is none.
+	claim *claim
 }
 
 // Plan returns the orders that follow from all that is known.
@@ -191,6 +193,7 @@
 					g.level = level(j, within)
 					g.deadline = c.objective(j, k)
 					g.density = c.density(j, k, now)
+					g.claim = j.validClaim(k, s, now)
 					gs = append(gs, g)
 					waiting = true
 				}
@@ -208,8 +211,13 @@
 	return gs
 }
 
-// rank puts guaranteed work before all other, which goes by density.
-func (g *group) rank() int { return min(g.level, levelUrgent) }
+// rank puts work for which others were stopped first, then guaranteed work; all other goes by density.
+func (g *group) rank() int {
+	if g.claim != nil {
+		return -1
+	}
+	return min(g.level, levelUrgent)
+}
 
 // group returns the tasks of a step that wait, when the step's turn has come.
 func (c *Core) group(j *job, k, s int) (group, bool) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -71,6 +71,8 @@
 	live map[descriptor.TaskID]*run
 	// avoid counts, by step and worker, the failed runs there.
 	avoid map[avoidKey]int
+	// claim keeps the room for which others were stopped; nil when there is none.
+	claim *claim
 	// waitingSince is when a task of the workload was first found without room; zero when none waits.
 	waitingSince time.Time
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -266,3 +266,25 @@
 	}
 	assert.Equal(t, r.stops(), 0)
 }
+
+// Room for which an urgent gang has stopped others is not taken by less urgent work while the last victims still stop;
+// the gang stopped more runs on each rack in turn.
+func TestPreemptedRoomIsKept(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("low", 48, 1, 20*time.Second, priority(2))
+	r.plan()
+	assert.Equal(t, len(r.running("low")), 48)
+	r.submit("mid", 20, 1, 20*time.Second, priority(1))
+	r.submit("urgent", 3, 8, 30*time.Second, priority(0), sameRack)
+	orders := r.core.Plan(r.now)
+	assert.Equal(t, len(orders), 24)
+	// The victims stop one after the other.
+	for _, o := range orders {
+		r.apply([]Order{o})
+		r.now = r.now.Add(20 * time.Millisecond)
+		r.report()
+		r.plan()
+	}
+	assert.Equal(t, len(r.running("urgent")), 3)
+	assert.Equal(t, r.stops(), 24)
+}
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -170,6 +170,7 @@
 	orders := p.preempt(g, best, bestCost)
 	if ws := p.fill(g, s, bestPool, need, n, true); ws != nil {
 		p.promiseAll(ws, need)
+		p.claim(g, ws)
 	}
 	return orders
 }
