--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -275,7 +275,10 @@
 	r.plan()
 	assert.Equal(t, len(r.running("low")), 48)
 	r.submit("mid", 20, 1, 20*time.Second, priority(1))
-	r.submit("urgent", 3, 8, 30*time.Second, priority(0), sameRack)
+	// Already late, the gang is worth less per core-second than the other work that waits.
+	r.submit("urgent", 3, 8, 30*time.Second, priority(0), sameRack, func(w *descriptor.Workload) {
+		w.Accepted = r.now.Add(-40 * time.Second)
+	})
 	orders := r.core.Plan(r.now)
 	assert.Equal(t, len(orders), 24)
 	// The victims stop one after the other.
