--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -12,6 +12,9 @@
 // and one write.
 const stopMargin = 300 * time.Millisecond
 
+// estimateMargin is the part of an expected run time that it may be longer; the users' good estimates are off by a fifth.
+const estimateMargin = 0.2
+
 // forecast returns when n tasks will fit into a pool without any preemption, and where. It counts room that is promised
 // to nobody, runs that are being stopped, and the expected ends of all others.
 func (p *pass) forecast(g group, pool []*worker, need descriptor.Capacity, n int) (time.Duration, placement) {
@@ -49,7 +52,8 @@
 // slackLeft is how long an urgent group can wait for room before it must preempt to start in time.
 func (p *pass) slackLeft(g group) time.Duration {
 	stop := p.core.Limits.StopGrace + stopMargin
-	left := g.deadline.Add(-p.core.chainLeft(g.job, g.occurrence)).Sub(p.now) - stop
+	chain := p.core.chainLeft(g.job, g.occurrence)
+	left := g.deadline.Add(-time.Duration((1+estimateMargin)*float64(chain))).Sub(p.now) - stop
 	if g.level == levelGuaranteed {
 		left = min(left, g.job.from(g.occurrence).Add(p.core.Limits.Reclaim).Sub(p.now)-2*stop)
 	}
--- a/internal/planner/history.go
+++ b/internal/planner/history.go
@@ -1,55 +1,67 @@
 package planner
 
 import (
+	"math"
 	"time"
-
-	"persimmontrail/pkg/descriptor"
 )
 
 const (
-	// minSamples is how many ended runs make the mean of a queue better than a declared run time that is off by up
-	// to 90 %.
+	// minSamples is how many ended runs a mean needs to be compared with declared run times.
 	minSamples = 3
-	// historyWeight is the part of a new run time in the moving mean.
-	historyWeight = 0.2
+	// historyWeight is the part of a new run time in the moving means.
+	historyWeight = 0.15
 	// fallbackRunTime is assumed for a task without a declared run time.
 	fallbackRunTime = 5 * time.Second
 )
 
-// runTimes is a moving mean of run times.
+// runTimes learns how long the tasks of a queue run, and whether that or the callers' estimates come closer.
 type runTimes struct {
 	samples int
 	mean    time.Duration
+	// meanError and declaredError are moving means of the relative errors of both.
+	meanError     float64
+	declaredError float64
 }
 
-func (h *runTimes) add(d time.Duration) {
+func (h *runTimes) add(actual, declared time.Duration) {
 	h.samples++
-	if h.samples <= minSamples {
-		h.mean += (d - h.mean) / time.Duration(h.samples)
-		return
+	weight := max(1/float64(h.samples), historyWeight)
+	if h.samples > 1 {
+		h.meanError += weight * (relativeError(h.mean, actual) - h.meanError)
+	}
+	if declared <= 0 {
+		declared = fallbackRunTime
 	}
-	h.mean += time.Duration(historyWeight * float64(d-h.mean))
+	h.declaredError += weight * (relativeError(declared, actual) - h.declaredError)
+	h.mean += time.Duration(weight * float64(actual-h.mean))
+}
+
+// relativeError is symmetric, so that estimates that are far too short count as much as those far too long.
+func relativeError(estimate, actual time.Duration) float64 {
+	return math.Abs(math.Log(float64(max(estimate, time.Millisecond)) / float64(max(actual, time.Millisecond))))
 }
 
 // learn takes the run time of a task that ended well.
-func (c *Core) learn(q descriptor.QueueID, d time.Duration) {
+func (c *Core) learn(j *job, s int, d time.Duration) {
+	q := j.record.Workload.Queue
 	h := c.history[q]
 	if h == nil {
 		h = &runTimes{}
 		c.history[q] = h
 	}
-	h.add(d)
+	h.add(d, j.step(s).RunTime)
 }
 
 // expected returns the run time to expect for a task of step s.
 func (c *Core) expected(j *job, s int) time.Duration {
-	if h := c.history[j.record.Workload.Queue]; h != nil && h.samples >= minSamples {
-		return h.mean
+	declared := j.step(s).RunTime
+	if declared <= 0 {
+		declared = fallbackRunTime
 	}
-	if d := j.step(s).RunTime; d > 0 {
-		return d
+	if h := c.history[j.record.Workload.Queue]; h != nil && h.samples >= minSamples && h.meanError < h.declaredError {
+		return h.mean
 	}
-	return fallbackRunTime
+	return declared
 }
 
 // remaining estimates how long a run still takes, from its percent when that says something.
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -27,6 +27,8 @@
 	// coming is what stopping runs will free, where it is not promised.
 	coming map[*worker]descriptor.Capacity
 	fleet  []*worker
+	// urgentOnly are the workers on which no other work may start.
+	urgentOnly map[*worker]bool
 }
 
 func (c *Core) newPass(now time.Time) *pass {
@@ -38,6 +40,7 @@
 			p.coming[w] = w.stopping()
 		}
 	}
+	p.urgentOnly = p.kept()
 	return p
 }
 
@@ -65,6 +68,9 @@
 		if w.status.Service != g.job.record.Workload.Service || s.Label != "" && !slices.Contains(w.status.Labels, s.Label) {
 			continue
 		}
+		if g.level >= levelOther && p.urgentOnly[w] {
+			continue
+		}
 		if p.now.Before(w.quarantined) || p.now.Before(w.suspect) || g.job.avoid[avoidKey{g.step, w.life.Worker}] > 0 {
 			rest = append(rest, w)
 			continue
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -46,6 +46,7 @@
 	}
 	orders = append(orders, c.stopStalled(now)...)
 	orders = append(orders, c.stopLeaving(now)...)
+	c.reserve.watch(c.urgentDemand(), now)
 	p := c.newPass(now)
 	for _, g := range c.groups(now) {
 		orders = append(orders, p.place(g)...)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -58,6 +58,8 @@
 	history map[descriptor.QueueID]*runTimes
 	// works holds the mean work of the workloads of a queue.
 	works map[descriptor.QueueID]*meanWork
+	// reserve keeps racks for urgent work.
+	reserve reserve
 	// recheck is the earliest time at which a plan may differ without a new event.
 	recheck time.Time
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -291,3 +291,30 @@
 	assert.Equal(t, len(r.running("urgent")), 3)
 	assert.Equal(t, r.stops(), 24)
 }
+
+// A rush of urgent gangs on a full fleet: after the first one, whole racks stay free for the next, which starts at once
+// and stops nobody.
+func TestRushFindsRacksFree(t *testing.T) {
+	r := newRig(t, 4)
+	r.submit("first", 3, 8, 2*time.Second, priority(0), sameRack)
+	r.submit("flood", 200, 1, 20*time.Second, priority(2))
+	r.plan()
+	assert.Equal(t, len(r.running("first")), 3)
+	for i := range 3 {
+		node, run := r.runOf("first", i)
+		r.end(node, run, descriptor.OutcomeDone)
+	}
+	r.pass(300 * time.Millisecond)
+	r.submit("second", 3, 8, 2*time.Second, priority(0), sameRack)
+	r.plan()
+	assert.Equal(t, len(r.running("second")), 3)
+	assert.Equal(t, r.stops(), 0)
+}
+
+// Without urgent work nothing is kept free.
+func TestNothingIsKeptWithoutUrgentWork(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("flood", 200, 1, 20*time.Second, priority(2))
+	r.plan()
+	assert.Equal(t, len(r.running("flood")), 48)
+}
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -8,8 +8,12 @@
 	"persimmontrail/pkg/descriptor"
 )
 
-// levelCost makes victims of the next more urgent level that much dearer.
-const levelCost = 1.5
+// victimWeight is how much dearer a victim is than one of the next priority. It is less than the ratio of their worth,
+// since a stopped task is not lost.
+const victimWeight = 2
+
+// urgentVictim is the weight of urgent work beyond a guarantee, which only guaranteed work may stop.
+const urgentVictim = 12
 
 // wasteRatio is how many core-seconds a preemption beyond a guarantee may throw away for each one that the urgent
 // workload takes. The users price wasted work at about a quarter of what urgent work is worth.
@@ -83,7 +87,7 @@
 			}
 			if l := level(r.job, within); l > g.level {
 				u := p.unitOf(r)
-				u.cost *= 1 + levelCost/float64(1+l)
+				u.cost *= p.weight(r.job, l)
 				for _, m := range u.runs {
 					taken[m] = true
 				}
@@ -120,6 +124,18 @@
 // its end.
 func (r *run) current() bool { return r.job != nil && r.job.live[r.id.Task] == r }
 
+// weight is how dear a core-second of a victim is. Urgent work that is stopped is mostly late afterwards.
+func (p *pass) weight(j *job, level int) float64 {
+	if level == levelUrgent {
+		return urgentVictim
+	}
+	w := float64(victimWeight)
+	for range j.record.Workload.Priority - 1 {
+		w /= victimWeight
+	}
+	return w
+}
+
 // unitOf returns the unit of a run and the core-seconds that stopping it throws away.
 func (p *pass) unitOf(r *run) *unit {
 	u := &unit{runs: []*run{r}}
--- /dev/null
+++ b/internal/planner/reserve.go
@@ -0,0 +1,89 @@
+package planner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	// reserveMemory is the time in which a rush of urgent work is forgotten; rushes last six seconds and come several
+	// times a minute.
+	reserveMemory = 30 * time.Second
+	// maxReserve is the largest part of the accelerators that other work must leave. Under half of a service in use,
+	// nothing may wait beside free room.
+	maxReserve = 0.4
+)
+
+// reserve decides which racks are kept for urgent work. Urgent gangs need whole racks at once, and stopping others
+// first takes a good part of the time that they have.
+type reserve struct {
+	// peak is the most accelerators that urgent work lately ran on or waited for at one time, decaying.
+	peak float64
+	at   time.Time
+}
+
+// watch takes the present demand of urgent work.
+func (v *reserve) watch(demand descriptor.Accelerators, now time.Time) {
+	if !v.at.IsZero() {
+		v.peak *= math.Exp(-float64(now.Sub(v.at)) / float64(reserveMemory))
+	}
+	v.at = now
+	v.peak = max(v.peak, float64(demand))
+}
+
+// urgentDemand is what urgent workloads run on or wait for.
+func (c *Core) urgentDemand() descriptor.Accelerators {
+	var sum descriptor.Accelerators
+	for _, j := range c.jobs {
+		if j.pending() && j.record.Workload.Priority == 0 {
+			sum += accelerators(j)
+		}
+	}
+	return sum
+}
+
+// kept returns the workers on which only urgent work may start: the racks with the least other work.
+func (p *pass) kept() map[*worker]bool {
+	type rack struct {
+		workers []*worker
+		other   descriptor.Accelerators
+		whole   descriptor.Accelerators
+	}
+	racks := map[descriptor.RackID]*rack{}
+	var order []*rack
+	var all descriptor.Accelerators
+	for _, w := range p.fleet {
+		r := racks[w.status.Rack]
+		if r == nil {
+			r = &rack{}
+			racks[w.status.Rack] = r
+			order = append(order, r)
+		}
+		r.workers = append(r.workers, w)
+		r.whole += w.status.Capacity.Accelerators
+		all += w.status.Capacity.Accelerators
+		for _, run := range w.runs {
+			if run.job != nil && run.job.record.Workload.Priority > 0 {
+				r.other += run.need.Accelerators
+			}
+		}
+	}
+	want := min(p.core.reserve.peak, maxReserve*float64(all))
+	slices.SortStableFunc(order, func(a, b *rack) int { return cmp.Compare(a.other, b.other) })
+	kept := map[*worker]bool{}
+	for _, r := range order {
+		// A rack is kept when most of it is wanted; otherwise the reserve would be up to a rack too large.
+		if want < float64(r.whole-r.other)/2 {
+			break
+		}
+		want -= float64(r.whole - r.other)
+		for _, w := range r.workers {
+			kept[w] = true
+		}
+	}
+	return kept
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -291,7 +291,7 @@
 		w.suspect = time.Time{}
 	}
 	if r != nil && r.seen && r.checkpoint == "" {
-		c.learn(j.record.Workload.Queue, now.Sub(r.started))
+		c.learn(j, e.Task.Step, now.Sub(r.started))
 	}
 	tasks := j.tasks(e.Task.Occurrence, e.Task.Step)
 	if !j.step(e.Task.Step).Gang {
