--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -29,6 +29,8 @@
 	fleet  []*worker
 	// urgentOnly are the workers on which no other work may start.
 	urgentOnly map[*worker]bool
+	// reserveBusy is true when other work may not use urgentOnly, however long it waits.
+	reserveBusy bool
 }
 
 func (c *Core) newPass(now time.Time) *pass {
@@ -40,7 +42,7 @@
 			p.coming[w] = w.stopping()
 		}
 	}
-	p.urgentOnly = p.kept()
+	p.urgentOnly, p.reserveBusy = p.kept(), p.busy()
 	return p
 }
 
@@ -68,7 +70,7 @@
 		if w.status.Service != g.job.record.Workload.Service || s.Label != "" && !slices.Contains(w.status.Labels, s.Label) {
 			continue
 		}
-		if g.level >= levelOther && p.urgentOnly[w] {
+		if !p.mayUse(g, w) {
 			continue
 		}
 		if p.now.Before(w.quarantined) || p.now.Before(w.suspect) || g.job.avoid[avoidKey{g.step, w.life.Worker}] > 0 {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -318,3 +318,18 @@
 	r.plan()
 	assert.Equal(t, len(r.running("flood")), 48)
 }
+
+// Work does not wait for seconds beside a fleet of which most is free, also when a rush of urgent work is remembered.
+func TestReserveEndsOnFreeFleet(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("rush", 6, 8, 2*time.Second, priority(0))
+	r.plan()
+	for i := range 6 {
+		node, run := r.runOf("rush", i)
+		r.end(node, run, descriptor.OutcomeDone)
+	}
+	r.report()
+	r.submit("wide", 5, 8, 10*time.Second, priority(2))
+	r.pass(2 * time.Second)
+	assert.Equal(t, len(r.running("wide")), 5)
+}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -13,9 +13,13 @@
 	// reserveMemory is the time in which a rush of urgent work is forgotten; rushes last six seconds and come several
 	// times a minute.
 	reserveMemory = 30 * time.Second
-	// maxReserve is the largest part of the accelerators that other work must leave. Under half of a service in use,
-	// nothing may wait beside free room.
+	// maxReserve is the largest part of the accelerators that other work must leave.
 	maxReserve = 0.4
+	// busyShare of a fleet must be in use for a reserve to last: while under half of it is, no work may wait for 3 s
+	// beside free room.
+	busyShare = 0.6
+	// reservePatience is how long work waits beside a reserve on a fleet that is not busy.
+	reservePatience = time.Second
 )
 
 // reserve decides which racks are kept for urgent work. Urgent gangs need whole racks at once, and stopping others
@@ -46,6 +50,30 @@
 	return sum
 }
 
+// busy reports whether all kinds of capacity are used for the most part.
+func (p *pass) busy() bool {
+	var whole, free descriptor.Capacity
+	for _, w := range p.fleet {
+		whole = whole.Plus(w.status.Capacity)
+		free = free.Plus(w.free())
+	}
+	used := func(free, whole float64) bool { return free <= (1-busyShare)*whole }
+	return used(float64(free.Cores), float64(whole.Cores)) && used(float64(free.Memory), float64(whole.Memory)) &&
+		used(float64(free.Accelerators), float64(whole.Accelerators))
+}
+
+// mayUse reports whether a group may start on w in spite of the reserve.
+func (p *pass) mayUse(g group, w *worker) bool {
+	if g.level < levelOther || !p.urgentOnly[w] {
+		return true
+	}
+	if p.reserveBusy {
+		return false
+	}
+	p.core.wakeAt(g.job.waitingSince.Add(reservePatience))
+	return p.now.Sub(g.job.waitingSince) > reservePatience
+}
+
 // kept returns the workers on which only urgent work may start: the racks with the least other work.
 func (p *pass) kept() map[*worker]bool {
 	type rack struct {
