--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -13,7 +13,7 @@
 	// reserveMemory is the time in which a rush of urgent work is forgotten; rushes last six seconds and come several
 	// times a minute.
 	reserveMemory = 30 * time.Second
-	// maxReserve is the largest part of the accelerators that other work must leave.
+	// maxReserve is the largest part of the accelerators that may stand idle for urgent work.
 	maxReserve = 0.4
 	// busyShare of a fleet must be in use for a reserve to last: while under half of it is, no work may wait for 3 s
 	// beside free room.
@@ -83,7 +83,7 @@
 	}
 	racks := map[descriptor.RackID]*rack{}
 	var order []*rack
-	var all descriptor.Accelerators
+	var all, urgent descriptor.Accelerators
 	for _, w := range p.fleet {
 		r := racks[w.status.Rack]
 		if r == nil {
@@ -95,12 +95,17 @@
 		r.whole += w.status.Capacity.Accelerators
 		all += w.status.Capacity.Accelerators
 		for _, run := range w.runs {
-			if run.job != nil && run.job.record.Workload.Priority > 0 {
+			if run.job == nil {
+				continue
+			}
+			if run.job.record.Workload.Priority > 0 {
 				r.other += run.need.Accelerators
+			} else {
+				urgent += run.need.Accelerators
 			}
 		}
 	}
-	want := min(p.core.reserve.peak, maxReserve*float64(all))
+	want := min(p.core.reserve.peak, maxReserve*float64(all)+float64(urgent))
 	slices.SortStableFunc(order, func(a, b *rack) int { return cmp.Compare(a.other, b.other) })
 	kept := map[*worker]bool{}
 	for _, r := range order {
