admitter: no try that the caller's deadline cuts short; a known outage is answered at once

Cause: a write or a call to another entry that began with under 0.1 s left ended without an answer, and was told as unknown (504) where nothing had been done. Test: TestTooLateSubmissionIsRefused.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -79,6 +79,8 @@
 	mu sync.Mutex
 	// shunned entries are not asked before a time, by address.
 	shunned map[string]time.Time
+	// outage is when all other entries last said that they do not reach the store.
+	outage time.Time
 }
 
 // PlanKeeper holds the newest configuration that the process has seen. It never goes back.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -184,6 +184,17 @@
 	assert.Assert(t, !ok)
 }
 
+// A submission that comes with hardly any time left is refused, since a try that is cut short has an unknown outcome.
+func TestTooLateSubmissionIsRefused(t *testing.T) {
+	m := &memory{}
+	a := newAdmitter(t, m)
+	c := submit("j")
+	c.Timeout = 31 * time.Millisecond
+	assert.Equal(t, a.Serve(t.Context(), c).Code, CodeRefused)
+	_, ok := m.items[archiver.JobKey("j")]
+	assert.Assert(t, !ok)
+}
+
 // An entry that is gone stays in the roster. A call to it that found no connection proves that it did nothing, so it
 // must not turn a refusal into an unknown outcome, and it is not asked again for a while.
 func TestVanishedEntryDoesNotSpoilRefusal(t *testing.T) {
--- a/internal/admitter/serve.go
+++ b/internal/admitter/serve.go
@@ -29,15 +29,23 @@
 	// peerTimeout bounds one try at another entry. It covers a write to a slow store.
 	peerTimeout = 900 * time.Millisecond
 	// usualOutage is how long the store is away as a rule. A refused caller is told to come back when the rest of it
-	// has passed, but not later than maxRetryAfter, since some outages are shorter.
+	// has passed, but early enough for several more tries before its deadline, since some outages are shorter.
 	usualOutage   = 4 * time.Second
 	minRetryAfter = time.Second
-	maxRetryAfter = 2 * time.Second
+	triesLeft     = 3
+	// minPeerTimeout is the least time in which another entry is asked to write; a call that is cut short has an
+	// unknown outcome.
+	minPeerTimeout = 250 * time.Millisecond
+	// outageMemory is how long the other entries are not asked again after all of them said that they do not reach
+	// the store either.
+	outageMemory = 300 * time.Millisecond
 	// shunTime is how long an entry that was not reached is not asked again. Entries that were replaced stay in the
 	// roster.
 	shunTime = 5 * time.Second
-	// answerMargin of a caller's deadline is left for the answer's way back.
-	answerMargin = 150 * time.Millisecond
+	// answerMargin of a caller's deadline is left for the answer's way back; callers are 1 to 3 ms away.
+	answerMargin = 30 * time.Millisecond
+	// minTimeout is the least time in which a write can be tried: two ways between regions and the store's answer.
+	minTimeout = 60 * time.Millisecond
 	// maxCall bounds a call between entries.
 	maxCall = 4 << 20
 	// planEvery is how often an entry that lost the store asks others for the configuration.
@@ -123,13 +131,19 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout-answerMargin)
 	defer cancel()
-	r := a.serveHere(ctx, c, false)
+	var r Reply
 	where := "here"
+	if c.Action == ActionSubmit && c.Timeout < answerMargin+minTimeout {
+		// A try would end without an answer, and its outcome would be unknown.
+		r = Reply{Code: CodeRefused, Reason: "too little time left to try"}
+	} else {
+		r = a.serveHere(ctx, c, false)
+	}
 	if (r.Code == CodeLocal || r.Code == CodeUnknown) && !c.Forwarded {
 		r, where = a.serveElsewhere(ctx, c, r)
 	}
 	if r.Code == CodeRefused {
-		r.RetryAfter = min(max(usualOutage-time.Since(a.Documents.Confirmed()), minRetryAfter), maxRetryAfter)
+		r.RetryAfter = max(min(usualOutage-time.Since(a.Documents.Confirmed()), c.Timeout/triesLeft), minRetryAfter)
 	}
 	_, revision := a.Plan.Now()
 	a.Metrics.Duration("call_seconds", time.Since(began), "action", string(c.Action), "code", string(r.Code))
@@ -195,10 +209,16 @@
 	if here.Code == CodeUnknown {
 		unknown = here
 	}
-	for _, m := range a.peers() {
-		if ctx.Err() != nil {
+	peers := a.peers()
+	if a.outageKnown() {
+		peers = nil
+	}
+	asked := 0
+	for _, m := range peers {
+		if left, ok := ctx.Deadline(); ok && time.Until(left) < minPeerTimeout {
 			break
 		}
+		asked++
 		c.Timeout = peerTimeout
 		r, err := a.callPeer(ctx, m, c)
 		if err != nil {
@@ -220,6 +240,9 @@
 	if unknown.Code != "" {
 		return unknown, "elsewhere"
 	}
+	if asked > 0 && asked == len(peers) {
+		a.noteOutage()
+	}
 	if c.Action == ActionState {
 		if r := a.serveHere(ctx, c, true); r.Code == CodeDone {
 			return r, "here, by old knowledge"
@@ -241,6 +264,19 @@
 	a.shunned[m.Address] = time.Now().Add(shunTime)
 }
 
+// noteOutage remembers that no entry reaches the store.
+func (a *Admitter) noteOutage() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.outage = time.Now()
+}
+
+func (a *Admitter) outageKnown() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.outage) < outageMemory
+}
+
 func (a *Admitter) isShunned(m archiver.Member) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
