--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -357,3 +357,30 @@
 	assert.Equal(t, run.Run, 2)
 	assert.Assert(t, first != second)
 }
+
+// A workspace's guarantee is reclaimed inside its bound from urgent work of others that runs beyond theirs, whatever
+// that throws away.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	r := newRig(t, 1)
+	r.core.Limits.Reclaim, r.core.Limits.StopGrace = 3400*time.Millisecond, 500*time.Millisecond
+	r.core.SetGuarantees([]descriptor.Account{{Workspace: "a", Guaranteed: 24}, {Workspace: "b"}})
+	r.submit("other", 3, 8, 60*time.Second, priority(0), sameRack, workspace("b"))
+	r.plan()
+	r.pass(2 * time.Second)
+	assert.Equal(t, len(r.running("other")), 3)
+	r.submit("own", 3, 8, 30*time.Second, priority(0), sameRack, workspace("a"))
+	r.pass(2900 * time.Millisecond)
+	assert.Equal(t, len(r.running("own")), 3)
+	assert.Equal(t, len(r.running("other")), 0)
+}
+
+// Urgent work beyond a guarantee does not throw away more than it is worth.
+func TestUrgentWorkWaitsForDearVictims(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("long", 3, 8, 60*time.Second, priority(1))
+	r.plan()
+	r.pass(8 * time.Second)
+	r.submit("urgent", 1, 8, time.Second, priority(0))
+	r.pass(time.Second)
+	assert.Equal(t, len(r.running("long")), 3)
+}
--- a/pkg/descriptor/workload.go
+++ b/pkg/descriptor/workload.go
@@ -1,6 +1,7 @@
 package descriptor
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -170,32 +171,32 @@
 // Check returns an error that names the first field that is wrong.
 func (w *Workload) Check() error {
 	if w.ID == "" {
-		return fmt.Errorf("ID is empty")
+		return errors.New("field ID is empty")
 	}
 	if len(w.Steps) == 0 {
-		return fmt.Errorf("Steps is empty")
+		return errors.New("field Steps is empty")
 	}
 	total := 0
 	for i := range w.Steps {
 		s := &w.Steps[i]
 		if s.Count < 1 {
-			return fmt.Errorf("Steps[%d].Count is %d, want at least 1", i, s.Count)
+			return fmt.Errorf("field Steps[%d].Count is %d, want at least 1", i, s.Count)
 		}
 		if s.Size.Cores < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0 {
-			return fmt.Errorf("Steps[%d].Size has a negative part", i)
+			return fmt.Errorf("field Steps[%d].Size has a negative part", i)
 		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
-				return fmt.Errorf("Steps[%d].After names step %d, want an earlier one", i, a)
+				return fmt.Errorf("field Steps[%d].After names step %d, want an earlier one", i, a)
 			}
 		}
 		total += s.Count
 	}
 	if total > MaxWorkloadTasks {
-		return fmt.Errorf("Steps has %d tasks, at most %d", total, MaxWorkloadTasks)
+		return fmt.Errorf("field Steps has %d tasks, at most %d", total, MaxWorkloadTasks)
 	}
 	if w.Times < 0 {
-		return fmt.Errorf("Times is %d, want at least 0", w.Times)
+		return fmt.Errorf("field Times is %d, want at least 0", w.Times)
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/descriptor/workload_test.go
@@ -0,0 +1,49 @@
+package descriptor_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// Each fault of a workload must be refused with an error that names the field.
+func TestWorkloadCheck(t *testing.T) {
+	step := descriptor.Step{Count: 1}
+	for _, test := range []struct {
+		name string
+		w    descriptor.Workload
+		want string
+	}{
+		{"no id", descriptor.Workload{Steps: []descriptor.Step{step}}, "field ID is empty"},
+		{"no steps", descriptor.Workload{ID: "j"}, "field Steps is empty"},
+		{"no tasks", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{}}}, "field Steps[0].Count is 0, want at least 1"},
+		{"after itself", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: 1, After: []int{0}}}}, "field Steps[0].After names step 0, want an earlier one"},
+		{"negative size", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: 1, Size: descriptor.Capacity{Cores: -1}}}}, "field Steps[0].Size has a negative part"},
+		{"too many", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: descriptor.MaxWorkloadTasks + 1}}}, "field Steps has 4097 tasks, at most 4096"},
+		{"negative times", descriptor.Workload{ID: "j", Times: -1, Steps: []descriptor.Step{step}}, "field Times is -1, want at least 0"},
+		{"sound", descriptor.Workload{ID: "j", Steps: []descriptor.Step{step, {Count: 2, After: []int{0}}}}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			err := test.w.Check()
+			if test.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Error(t, err, test.want)
+		})
+	}
+}
+
+// The text form of a task id is what workers and logs show; what cannot be read must not name another task.
+func TestTaskID(t *testing.T) {
+	id := descriptor.TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 2, Step: 1, Index: 17}
+	got, err := descriptor.ParseTaskID(id.String())
+	assert.NilError(t, err)
+	assert.Equal(t, got, id)
+	for _, bad := range []string{"", "a", "a.1.2", "a.1.2.x", ".1.2.3", "a.1.2.-3", "a.1.2.3.4"} {
+		_, err := descriptor.ParseTaskID(bad)
+		assert.ErrorContains(t, err, "want job.occurrence.step.index", bad)
+	}
+}
