--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -187,6 +187,9 @@
 	at, _ := slices.BinarySearchFunc(c.open, j.id(), func(o *job, id descriptor.JobID) int { return cmp.Compare(o.id(), id) })
 	c.open = slices.Insert(c.open, at, j)
 	c.countWork(j)
+	if r.Workload.Priority == 0 && j.arrived.After(c.reserve.arrival) {
+		c.reserve.arrival = j.arrived
+	}
 	return j
 }
 
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -18,6 +18,8 @@
 	// busyShare of a fleet must be in use for a reserve to last: while under half of it is, no work may wait for 3 s
 	// beside free room.
 	busyShare = 0.6
+	// rushGap is how long after the last urgent arrival nothing is kept any more.
+	rushGap = 6 * time.Second
 	// reservePatience is how long work waits beside a reserve on a fleet that is not busy.
 	reservePatience = time.Second
 )
@@ -28,6 +30,8 @@
 	// peak is the most accelerators that urgent work lately ran on or waited for at one time, decaying.
 	peak float64
 	at   time.Time
+	// arrival is when the last urgent workload came.
+	arrival time.Time
 }
 
 // watch takes the present demand of urgent work.
@@ -50,21 +54,22 @@
 	return sum
 }
 
-// busy reports whether all kinds of capacity are used for the most part.
+// busy reports whether some kind of capacity is used for the most part.
 func (p *pass) busy() bool {
 	var whole, free descriptor.Capacity
 	for _, w := range p.fleet {
 		whole = whole.Plus(w.status.Capacity)
 		free = free.Plus(w.free())
 	}
-	used := func(free, whole float64) bool { return free <= (1-busyShare)*whole }
-	return used(float64(free.Cores), float64(whole.Cores)) && used(float64(free.Memory), float64(whole.Memory)) &&
+	used := func(free, whole float64) bool { return whole > 0 && free <= (1-busyShare)*whole }
+	return used(float64(free.Cores), float64(whole.Cores)) || used(float64(free.Memory), float64(whole.Memory)) ||
 		used(float64(free.Accelerators), float64(whole.Accelerators))
 }
 
 // mayUseKept reports whether a group may start on the kept racks.
 func (p *pass) mayUseKept(g group) bool {
-	if g.level < levelOther {
+	// Service tasks must run at once, however full the fleet is.
+	if g.level < levelOther || g.job.step(g.step).Service {
 		return true
 	}
 	if p.reserveBusy {
@@ -105,6 +110,9 @@
 			}
 		}
 	}
+	if p.now.Sub(p.core.reserve.arrival) > rushGap {
+		return nil
+	}
 	want := min(p.core.reserve.peak, maxReserve*float64(all)+float64(urgent))
 	slices.SortStableFunc(order, func(a, b *rack) int { return cmp.Compare(a.other, b.other) })
 	kept := map[*worker]bool{}
