caretaker, planner: a worker without a process is gone; a gang is judged from when it is whole

Ruled out: the link from the leader (it reached the agent all the while). Tests: TestWorkerWithoutProcessIsGone, TestLateMemberIsNotCrawling (seen to fail).

--- a/internal/caretaker/caretaker.go
+++ b/internal/caretaker/caretaker.go
@@ -23,6 +23,9 @@
 	// ackWait is how long the agent waits for the acknowledgement of reported ends before it looks again; the worker
 	// answers at once while it has ends to report.
 	ackWait = 150 * time.Millisecond
+	// goneAfter is how long the worker's address must have no process before the worker counts as gone. A worker that
+	// starts again announces a new life.
+	goneAfter = 250 * time.Millisecond
 	// startTimeout bounds one try of a start. The worker is on the same machine and answers in milliseconds.
 	startTimeout = 250 * time.Millisecond
 	// startTries is how often an unanswered start is sent again. It is safe: a run that is there counts as started.
@@ -60,6 +63,8 @@
 	lists       Lists
 	listed      bool
 	listedFence descriptor.Fence
+	// noProcess is since when nothing listens at the worker's address; zero when something answered.
+	noProcess time.Time
 	// lookWas is how the last look went, so that only changes are logged.
 	lookWas error
 }
@@ -80,6 +85,10 @@
 	if s.Draining != c.status.Draining {
 		c.Log.Info("worker state changed", "worker", s.Life.Worker, "draining", s.Draining, "remaining_ms", s.Remaining)
 	}
+	if c.left && s.Life == c.status.Life {
+		c.Log.Warn("worker that counted as gone is back in the same life", "worker", s.Life.Worker, "born", s.Life.Born)
+		c.left, c.noProcess = false, time.Time{}
+	}
 	news := !c.known || s.Life != c.status.Life || s.Draining != c.status.Draining
 	c.known, c.status = true, s
 	if news {
@@ -168,12 +177,30 @@
 		c.Log.Info("look at the worker", "worker", h.Life.Worker, "born", h.Life.Born, "err", err)
 	}
 	c.lookWas = err
+	c.checkProcess(h.Life, err)
 	if err != nil {
 		return holdRetry
 	}
 	return c.take(h, lists)
 }
 
+// checkProcess notices that the worker's process is gone. The caller holds c.mu.
+func (c *Caretaker) checkProcess(l descriptor.Life, err error) {
+	if !errors.Is(err, ErrNoProcess) || l != c.status.Life {
+		c.noProcess = time.Time{}
+		return
+	}
+	if c.noProcess.IsZero() {
+		c.noProcess = time.Now()
+		return
+	}
+	if absent := time.Since(c.noProcess); absent >= goneAfter && !c.left {
+		c.Log.Info("worker is gone", "worker", l.Worker, "born", l.Born, "no_process_for", absent, "draining", c.status.Draining)
+		c.left = true
+		c.publish()
+	}
+}
+
 // take adopts the lists unless newer ones are there. The caller holds c.mu.
 func (c *Caretaker) take(h Hold, l Lists) time.Duration {
 	if l.Life.Born != 0 && l.Life.Born != c.status.Life.Born || h.Life != c.status.Life {
@@ -294,7 +321,7 @@
 			break
 		}
 	}
-	if errors.Is(err, ErrOtherLife) {
+	if errors.Is(err, ErrOtherLife) || errors.Is(err, ErrNoProcess) {
 		result.Refused = descriptor.RefusedLife
 	}
 	return result
--- a/internal/caretaker/caretaker_test.go
+++ b/internal/caretaker/caretaker_test.go
@@ -29,6 +29,8 @@
 	starts int
 	// lose is how many answers to starts are lost, after the start was carried out.
 	lose int
+	// dead refuses all connections.
+	dead bool
 	// origin makes the worker's clock.
 	origin time.Time
 }
@@ -45,6 +47,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.dead {
+		return Lists{}, ErrNoProcess
+	}
 	if h.Fence < f.fence {
 		return Lists{}, ErrRefused
 	}
@@ -222,3 +227,27 @@
 		assert.Assert(t, time.Since(began) < 2*time.Second)
 	})
 }
+
+// A worker without a process runs nothing; its tasks waited for the end of its lease before. A single refused
+// connection proves nothing.
+func TestWorkerWithoutProcessIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{}
+		c := newCaretaker(t, f)
+		c.Sync(t.Context(), Sync{Fence: 1, Life: life})
+		time.Sleep(time.Second)
+		set := func(dead bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.dead = dead
+		}
+		set(true)
+		time.Sleep(holdWait + 50*time.Millisecond)
+		assert.Assert(t, !c.Sync(t.Context(), Sync{Fence: 1}).Left)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, c.Sync(t.Context(), Sync{Fence: 1}).Left)
+		set(false)
+		c.Beat(descriptor.WorkerStatus{Life: descriptor.Life{Worker: "w", Born: 2}, Service: "s"})
+		assert.Assert(t, !c.Sync(t.Context(), Sync{Fence: 1}).Left)
+	})
+}
--- a/internal/caretaker/messages.go
+++ b/internal/caretaker/messages.go
@@ -50,7 +50,7 @@
 	// Known is true when Status holds what the worker said of itself.
 	Known  bool
 	Status descriptor.WorkerStatus
-	// Left is true when the worker announced its end and nothing runs any more.
+	// Left is true when the worker announced its end or has no process any more, so that nothing runs.
 	Left bool
 	// Listed is true when Clock, Running and Ended were read from the worker under Fence.
 	Listed  bool
@@ -91,6 +91,8 @@
 	ErrNoAnswer = errors.New("worker did not answer")
 	// ErrOtherLife means that another incarnation answered.
 	ErrOtherLife = errors.New("another life of the worker answered")
+	// ErrNoProcess means that nothing listens at the worker's address on the agent's own machine.
+	ErrNoProcess = errors.New("worker has no process")
 	// ErrRefused means that the worker did nothing.
 	ErrRefused = errors.New("worker refused")
 )
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -126,9 +126,24 @@
 // still is how long the worker has listed the run without progress, by the worker's clock.
 func (r *run) still() time.Duration { return time.Duration(r.seenAt-r.movedAt) * time.Millisecond }
 
-// judged reports whether the progress of a run says something about its worker.
+// judged reports whether the progress of a run says something about its worker. A gang makes none before all of its
+// members are present.
 func (c *Core) judged(r *run) bool {
-	return r.current() && r.seen && !r.stopping && r.job.pending() && !r.job.step(r.id.Task.Step).Service
+	return r.current() && r.seen && !r.stopping && r.job.pending() && !r.job.step(r.id.Task.Step).Service && r.gangPresent()
+}
+
+func (r *run) gangPresent() bool {
+	id := r.id.Task
+	if !r.job.step(id.Step).Gang {
+		return true
+	}
+	for i := range r.job.tasks(id.Occurrence, id.Step) {
+		id.Index = i
+		if m := r.job.live[id]; m == nil || !m.seen {
+			return false
+		}
+	}
+	return true
 }
 
 // stalled reports whether a run stands still through no fault of a missing gang member.
@@ -173,8 +188,13 @@
 		return false
 	}
 	expected := c.expected(r.job, r.id.Task.Step)
+	worked := time.Duration(r.movedAt-r.begunAt) * time.Millisecond
+	if r.job.step(r.id.Task.Step).Gang {
+		// A gang works from the moment when its last member is present.
+		worked -= c.gangDelay(r)
+	}
 	// Percentages are rounded down.
-	pace := time.Duration(r.movedAt-r.begunAt) * time.Millisecond * 100 / time.Duration(r.percent+1)
+	pace := worked * 100 / time.Duration(r.percent+1)
 	left := pace * time.Duration(100-r.percent) / 100
 	again := expected + c.Limits.StopGrace + stopMargin
 	return float64(pace) > crawlFactor*float64(expected)*c.far(r) && left > again*3/2
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -384,3 +384,43 @@
 	r.pass(time.Second)
 	assert.Equal(t, len(r.running("long")), 3)
 }
+
+// A gang whose last member started late has worked only since then; it is not slow for that.
+func TestLateMemberIsNotCrawling(t *testing.T) {
+	r := newRig(t, 2)
+	for i := range trustedSamples {
+		id := descriptor.JobID(rune('a' + i))
+		r.submit(id, 1, 1, 2*time.Second)
+		r.plan()
+		r.pass(2 * time.Second)
+		node, run := r.runOf(id, 0)
+		r.end(node, run, descriptor.OutcomeDone)
+		r.report()
+	}
+	r.submit("gang", 2, 8, 2*time.Second, gang)
+	orders := r.core.Plan(r.now)
+	assert.Equal(t, len(orders), 2)
+	r.core.SetStartBy(orders[1].Node, orders[1].Run, r.clock+2500)
+	r.apply(orders[:1])
+	percent := func(p int) {
+		for node, runs := range r.present {
+			for id := range runs {
+				r.present[node][id] = descriptor.RunStatus{RunID: id, Percent: p}
+			}
+		}
+		r.report()
+		r.plan()
+	}
+	for range 14 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.clock += 100
+		percent(0)
+	}
+	r.apply(orders[1:])
+	for i := range 10 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.clock += 100
+		percent(5 * (i + 1))
+	}
+	assert.Equal(t, r.stops(), 0)
+}
