admitter: the leader is told of accepted and cancelled jobs; the state of an open job is read from the store

Ruled out: the leader's processor and its writes. Tests: TestLeaderIsToldOfAcceptedJob, TestStateIsReadWhileJobIsOpen.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -230,7 +230,9 @@
 		var conflict *archiver.ConflictError
 		switch {
 		case err == nil:
-			a.Documents.Note(archiver.Item{Key: key, Value: txn.Put[0].Value, Revision: revision, Created: revision})
+			item := archiver.Item{Key: key, Value: txn.Put[0].Value, Revision: revision, Created: revision}
+			a.Documents.Note(item)
+			a.tellLeader(item)
 			return Verdict{Revision: revision}, nil
 		case errors.As(err, &conflict):
 			return a.conflict(conflict, w)
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -301,3 +301,33 @@
 	c.Action = ActionState
 	assert.Equal(t, a.Serve(t.Context(), c).Code, CodeNoJob)
 }
+
+// The leader hears of an accepted job at once, although its watch is silent.
+func TestLeaderIsToldOfAcceptedJob(t *testing.T) {
+	m := &memory{}
+	leader := newAdmitter(t, m)
+	server := httptest.NewServer(leader.PeerHandler())
+	defer server.Close()
+	me := archiver.Member{Node: "leader", Address: strings.TrimPrefix(server.URL, "http://")}
+	m.put(archiver.LeaderKey, archiver.Encode(me))
+	a := newAdmitter(t, m)
+	assert.Equal(t, a.Serve(t.Context(), submit("j")).Code, CodeDone)
+	for deadline := time.Now().Add(time.Second); ; {
+		if _, ok := leader.Documents.Get(archiver.JobKey("j")); ok {
+			break
+		}
+		assert.Assert(t, time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A caller sees the end of its job although the watch has not brought it yet.
+func TestStateIsReadWhileJobIsOpen(t *testing.T) {
+	m := &memory{}
+	a := newAdmitter(t, m)
+	assert.Equal(t, a.Serve(t.Context(), submit("j")).Code, CodeDone)
+	m.put(archiver.ProgressKey("j"), archiver.Encode(planner.Progress{State: planner.JobDone}))
+	c := submit("j")
+	c.Action = ActionState
+	assert.Equal(t, a.Serve(t.Context(), c).State, planner.JobDone)
+}
--- a/internal/admitter/serve.go
+++ b/internal/admitter/serve.go
@@ -19,10 +19,12 @@
 	"persimmontrail/pkg/descriptor"
 )
 
-// CallPath and PlanPath are what entries serve to one another.
+// CallPath, PlanPath and NotePath are what entries serve to one another.
 const (
 	CallPath = "/call"
 	PlanPath = "/plan"
+	// NotePath takes a document that was just written.
+	NotePath = "/note"
 )
 
 const (
@@ -283,6 +285,28 @@
 	return time.Now().Before(a.shunned[m.Address])
 }
 
+// noteTimeout bounds a note to the leader; its watch brings the document as well.
+const noteTimeout = 300 * time.Millisecond
+
+// tellLeader sends the leader a document that was just written. Watches of the store may hear of it a second later.
+func (a *Admitter) tellLeader(i archiver.Item) {
+	item, ok := a.Documents.Get(archiver.LeaderKey)
+	var leader archiver.Member
+	if !ok || archiver.Decode(item.Value, &leader) != nil || leader.Node == a.Node || a.isShunned(leader) {
+		return
+	}
+	body, err := cbor.Marshal(i)
+	if err != nil {
+		a.Log.Error("note not encoded", "key", i.Key, "err", err)
+		return
+	}
+	go func() {
+		if _, err := peerCall(context.Background(), leader.Address, NotePath, body, noteTimeout); err != nil {
+			a.Log.Info("leader not told of a document", "key", i.Key, "leader", leader.Node, "err", err)
+		}
+	}()
+}
+
 // peers returns the other entries, the leader first.
 func (a *Admitter) peers() []archiver.Member {
 	var ms []archiver.Member
@@ -376,6 +400,18 @@
 		c.Forwarded = true
 		a.write(w, a.Serve(context.WithoutCancel(r.Context()), c))
 	})
+	mux.HandleFunc("POST "+NotePath, func(w http.ResponseWriter, r *http.Request) {
+		var i archiver.Item
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCall))
+		if err == nil {
+			err = cbor.Unmarshal(data, &i)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		a.Documents.Note(i)
+	})
 	mux.HandleFunc("POST "+PlanPath, func(w http.ResponseWriter, r *http.Request) { a.write(w, a.news()) })
 	return mux
 }
--- a/internal/admitter/state.go
+++ b/internal/admitter/state.go
@@ -10,6 +10,9 @@
 	"persimmontrail/pkg/descriptor"
 )
 
+// stateTimeout bounds the read of a state; what the mirror knows is the answer after it.
+const stateTimeout = 300 * time.Millisecond
+
 // State returns what a workload has come to. It says ErrNoJob only by a read that cannot be stale.
 func (a *Admitter) State(ctx context.Context, t Target, id descriptor.JobID) (planner.JobState, error) {
 	r, _, err := a.record(ctx, t, id)
@@ -61,10 +64,11 @@
 			return p, errors.Join(ErrRefused, err)
 		}
 	}
-	if p.State.Final() || time.Since(a.Documents.Confirmed()) < visible {
+	if p.State.Final() || a.Documents.Lost() {
 		return p, nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	// Callers wait for the end, and a watch may hear of it a second late.
+	callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	i, err := a.Store.Get(callCtx, key)
 	switch {
@@ -105,7 +109,9 @@
 		var conflict *archiver.ConflictError
 		switch {
 		case err == nil:
-			a.Documents.Note(archiver.Item{Key: key, Value: data, Revision: revision, Created: i.Created})
+			item := archiver.Item{Key: key, Value: data, Revision: revision, Created: i.Created}
+			a.Documents.Note(item)
+			a.tellLeader(item)
 			return nil
 		case errors.As(err, &conflict):
 			if len(conflict.Items) == 0 || conflict.Items[0].Revision == 0 {
