--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -253,7 +253,7 @@
 			best, bestVictims, bestCost = w, victims, cost
 		}
 	}
-	if best == nil || !p.worthIt(g, bestVictims) {
+	if best == nil || !p.worthIt(g, bestVictims, 1) {
 		return nil
 	}
 	*orders = append(*orders, p.preempt(g, bestVictims, bestCost)...)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -424,3 +424,15 @@
 	}
 	assert.Equal(t, r.stops(), 0)
 }
+
+// A wide urgent step of single tasks weighs each victim against the one task that it makes room for; it weighed them
+// against the whole step and threw away many times its own work.
+func TestWideStepWeighsEachTask(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("long", 3, 8, 60*time.Second, priority(1))
+	r.plan()
+	r.pass(4 * time.Second)
+	r.submit("wide", 40, 1, time.Second, priority(0))
+	r.pass(time.Second)
+	assert.Equal(t, len(r.running("long")), 3)
+}
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -104,8 +104,9 @@
 // smallCost in core-seconds is for the restart of a task that loses nothing.
 const smallCost = 5
 
-// worthIt reports whether an urgent group may stop the victims: always for a guarantee, else when little is lost.
-func (p *pass) worthIt(g group, victims []*unit) bool {
+// worthIt reports whether n tasks of an urgent group may stop the victims: always for a guarantee, else when little is
+// lost against what these tasks do.
+func (p *pass) worthIt(g group, victims []*unit, n int) bool {
 	if g.level == levelGuaranteed {
 		return true
 	}
@@ -116,8 +117,8 @@
 	for _, u := range victims {
 		waste += u.waste
 	}
-	_, left := p.core.work(g.job, g.occurrence)
-	return waste <= wasteRatio*left
+	s := g.job.step(g.step)
+	return waste <= wasteRatio*float64(n)*s.Size.CoreSeconds(p.core.expected(g.job, g.step))
 }
 
 // current reports whether r is still its task's run; an ended member of a gang keeps its room until the worker lists
@@ -186,7 +187,7 @@
 			best, bestPool, bestCost = victims, pool, cost
 		}
 	}
-	if bestPool == nil || !p.worthIt(g, best) {
+	if bestPool == nil || !p.worthIt(g, best, n) {
 		g.job.preemptAfter = p.now.Add(preemptRetry)
 		p.core.wakeAt(g.job.preemptAfter)
 		return nil
