--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -144,6 +144,7 @@
 		return t, nil
 	}
 	if refreshErr := a.refresh(ctx); refreshErr != nil {
+		a.Operators.NoteFailure(refreshErr)
 		if plan, _ := a.Plan.Now(); plan == nil || err != nil {
 			return Target{}, errors.Join(ErrLocal, refreshErr)
 		}
@@ -192,6 +193,9 @@
 
 // refresh reads the configuration anew.
 func (a *Admitter) refresh(ctx context.Context) error {
+	if a.Operators.Lost() {
+		return archiver.ErrUnavailable
+	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	i, err := a.Store.Get(callCtx, a.PlanKey)
@@ -238,6 +242,7 @@
 			return a.conflict(conflict, w)
 		case errors.Is(err, archiver.ErrOutcomeUnknown):
 			unknown = true
+			a.Documents.NoteFailure(err)
 		case !unknown:
 			return Verdict{}, errors.Join(ErrLocal, err)
 		}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -331,3 +332,21 @@
 	c.Action = ActionState
 	assert.Equal(t, a.Serve(t.Context(), c).State, planner.JobDone)
 }
+
+// While the store is silent, callers are refused at once and not after a call has waited for it; only the first call
+// pays for finding out.
+func TestSilentStoreIsFoundOnce(t *testing.T) {
+	m := &memory{}
+	a := newAdmitter(t, m)
+	s := *a.Store
+	s.Get = func(ctx context.Context, _ string) (archiver.Item, error) {
+		<-ctx.Done()
+		return archiver.Item{}, errors.Join(archiver.ErrUnavailable, ctx.Err())
+	}
+	a.Store = &s
+	a.PlanConfirmed = func() time.Time { return time.Now().Add(-time.Minute) }
+	assert.Equal(t, a.Serve(t.Context(), submit("j")).Code, CodeRefused)
+	began := time.Now()
+	assert.Equal(t, a.Serve(t.Context(), submit("j")).Code, CodeRefused)
+	assert.Assert(t, time.Since(began) < storeTimeout/2)
+}
--- a/internal/archiver/mirror.go
+++ b/internal/archiver/mirror.go
@@ -166,6 +166,14 @@
 	return m.confirmed
 }
 
+// NoteFailure takes an error of a call outside of the mirror, so that a store that went silent counts as lost before
+// the watch has waited for its answer. The next answer to the mirror ends that.
+func (m *Mirror) NoteFailure(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		m.setLost(err)
+	}
+}
+
 // Lost reports whether the last call to the store failed.
 func (m *Mirror) Lost() bool {
 	m.mu.Lock()
