--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -350,3 +350,13 @@
 	assert.Equal(t, a.Serve(t.Context(), submit("j")).Code, CodeRefused)
 	assert.Assert(t, time.Since(began) < storeTimeout/2)
 }
+
+// A path with more than an id after the queue's prefix names no job; its last part alone would name another one.
+func TestPathMustEndWithTheID(t *testing.T) {
+	a := newAdmitter(t, &memory{})
+	c := submit("j")
+	c.Caller.Path = "/q/x/j"
+	assert.Equal(t, a.Serve(t.Context(), c).Code, CodeInvalid)
+	c.Action = ActionState
+	assert.Equal(t, a.Serve(t.Context(), c).Code, CodeNoJob)
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -31,9 +31,9 @@
 	callTimeout = 700 * time.Millisecond
 	// campaignPause is the pause between two tries to become leader.
 	campaignPause = 150 * time.Millisecond
-	// farFactor times the round trip to the store is how long an entry waits before it runs for leader, so that one
+	// candidacyDelay times the round trip to the store is how long an entry waits before it runs for leader, so that one
 	// close to the store wins.
-	farFactor = 6
+	candidacyDelay = 6
 )
 
 // Director leads when it can. Its exported fields must be set before Run.
@@ -123,7 +123,7 @@
 	if _, err := d.Store.Get(callCtx, archiver.LeaderKey); !errors.Is(err, archiver.ErrNotFound) {
 		return 0, 0, asked, errors.Join(errors.New("another leader, or no answer"), err)
 	}
-	sleep(ctx, farFactor*time.Since(asked))
+	sleep(ctx, candidacyDelay*time.Since(asked))
 	sent := time.Now()
 	lease, err := d.Store.Grant(callCtx, leaseTime)
 	if err != nil {
--- a/internal/planner/fixture_test.go
+++ b/internal/planner/fixture_test.go
@@ -188,3 +188,16 @@
 	}
 	return n
 }
+
+// learnRunTimes lets enough tasks of 2 s end well that run times are trusted.
+func (r *rig) learnRunTimes() {
+	for i := range trustedSamples {
+		id := descriptor.JobID(rune('a' + i))
+		r.submit(id, 1, 1, 2*time.Second)
+		r.plan()
+		r.pass(2 * time.Second)
+		node, run := r.runOf(id, 0)
+		r.end(node, run, descriptor.OutcomeDone)
+		r.report()
+	}
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -339,15 +339,7 @@
 // A task that crawls on a slow worker starts again elsewhere when that is sooner, once run times are known.
 func TestCrawlingTaskMoves(t *testing.T) {
 	r := newRig(t, 2)
-	for i := range trustedSamples {
-		id := descriptor.JobID(rune('a' + i))
-		r.submit(id, 1, 1, 2*time.Second)
-		r.plan()
-		r.pass(2 * time.Second)
-		node, run := r.runOf(id, 0)
-		r.end(node, run, descriptor.OutcomeDone)
-		r.report()
-	}
+	r.learnRunTimes()
 	r.submit("slow", 1, 1, 2*time.Second)
 	r.plan()
 	first, _ := r.runOf("slow", 0)
@@ -388,15 +380,7 @@
 // A gang whose last member started late has worked only since then; it is not slow for that.
 func TestLateMemberIsNotCrawling(t *testing.T) {
 	r := newRig(t, 2)
-	for i := range trustedSamples {
-		id := descriptor.JobID(rune('a' + i))
-		r.submit(id, 1, 1, 2*time.Second)
-		r.plan()
-		r.pass(2 * time.Second)
-		node, run := r.runOf(id, 0)
-		r.end(node, run, descriptor.OutcomeDone)
-		r.report()
-	}
+	r.learnRunTimes()
 	r.submit("gang", 2, 8, 2*time.Second, gang)
 	orders := r.core.Plan(r.now)
 	assert.Equal(t, len(orders), 2)
