--- a/internal/caretaker/caretaker_test.go
+++ b/internal/caretaker/caretaker_test.go
@@ -78,6 +78,13 @@
 	return Answer{Clock: f.clock()}, nil
 }
 
+// told returns what the worker was told: the fence, the grant and the acknowledgement.
+func (f *fake) told() (descriptor.Fence, descriptor.WorkerClock, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fence, f.until, f.seen
+}
+
 // newCaretaker runs an agent beside f until the test ends.
 func newCaretaker(t *testing.T, f *fake) *Caretaker {
 	t.Helper()
@@ -127,7 +134,8 @@
 		assert.Assert(t, !c.Sync(t.Context(), Sync{Fence: 2, Life: life}).Listed)
 		time.Sleep(time.Second)
 		assert.Assert(t, c.Sync(t.Context(), Sync{Fence: 2, Life: life}).Listed)
-		assert.Equal(t, f.fence, descriptor.Fence(2))
+		fence, _, _ := f.told()
+		assert.Equal(t, fence, descriptor.Fence(2))
 	})
 }
 
@@ -189,7 +197,8 @@
 		c.Sync(t.Context(), Sync{Fence: 1, Life: life})
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, len(c.Sync(t.Context(), Sync{Fence: 1, Life: life}).Ended), 1)
-		assert.Equal(t, f.seen, int64(0))
+		_, _, seen := f.told()
+		assert.Equal(t, seen, int64(0))
 		c.Sync(t.Context(), Sync{Fence: 1, Life: life, Seen: 1})
 		time.Sleep(time.Second)
 		assert.Equal(t, len(c.Sync(t.Context(), Sync{Fence: 1, Life: life}).Ended), 0)
@@ -203,7 +212,8 @@
 		c := newCaretaker(t, f)
 		c.Sync(t.Context(), Sync{Fence: 1, Life: life, HoldUntil: 5000})
 		time.Sleep(20 * time.Second)
-		assert.Equal(t, f.until, descriptor.WorkerClock(5000))
+		_, until, _ := f.told()
+		assert.Equal(t, until, descriptor.WorkerClock(5000))
 	})
 }
 
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,12 @@
 	return &memory{items: map[string]archiver.Item{}, leases: map[archiver.LeaseID]time.Time{}, bound: map[string]archiver.LeaseID{}}
 }
 
+func (m *memory) leaderRevision() archiver.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.items[archiver.LeaderKey].Revision
+}
+
 // expire removes what hangs on ended leases. The caller holds m.mu.
 func (m *memory) expire() {
 	for key, id := range m.bound {
@@ -233,22 +240,22 @@
 				first, second := newDirector(m, "a"), newDirector(m, "b")
 				// The second entry reaches the store on its own; the first one may be cut off.
 				reach := first.Store
-				cutOff := false
+				var cutOff atomic.Bool
 				guarded := *reach
 				guarded.Renew = func(ctx context.Context, id archiver.LeaseID) error {
-					if cutOff {
+					if cutOff.Load() {
 						return archiver.ErrUnavailable
 					}
 					return reach.Renew(ctx, id)
 				}
 				guarded.End = func(ctx context.Context, id archiver.LeaseID) error {
-					if cutOff {
+					if cutOff.Load() {
 						return archiver.ErrUnavailable
 					}
 					return reach.End(ctx, id)
 				}
 				guarded.Get = func(ctx context.Context, key string) (archiver.Item, error) {
-					if cutOff {
+					if cutOff.Load() {
 						return archiver.Item{}, archiver.ErrUnavailable
 					}
 					return reach.Get(ctx, key)
@@ -263,18 +270,18 @@
 				wg.Go(func() { first.Run(firstCtx) })
 				time.Sleep(time.Second)
 				assert.Assert(t, first.Leading())
-				fence := m.items[archiver.LeaderKey].Revision
+				fence := m.leaderRevision()
 				wg.Go(func() { second.Run(ctx) })
 				time.Sleep(5 * time.Second)
 				assert.Assert(t, first.Leading() && !second.Leading())
 				if test.cut {
-					cutOff = true
+					cutOff.Store(true)
 				} else {
 					stopFirst()
 				}
 				time.Sleep(test.limit)
 				assert.Assert(t, second.Leading() && !first.Leading())
-				assert.Assert(t, m.items[archiver.LeaderKey].Revision > fence)
+				assert.Assert(t, m.leaderRevision() > fence)
 				stopFirst()
 				cancel()
 				wg.Wait()
