planner: keep an adopted attempt when its worker restarts, until the worker's lists show it is gone

The next leader had adopted the attempt without a start deadline, took the new incarnation for its end and started the task again. Change: an adopted attempt stays placed when the incarnation changes. The lists of the new incarnation are read under the new leader's fence, so an older start can no longer take effect after them: a listed attempt runs on, a listed end counts, an unlisted attempt is released without a stop. The same for attempts that an older document places on a former incarnation of the same worker; another worker id is still released at once. Ruled out: a stop as for the leader's own orders (one more round trip for each task, and it ends work that runs well).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -194,19 +194,23 @@
 }
 
 // adopt takes over an attempt that a former leader placed. Progress documents that have not changed since may name
-// earlier incarnations of a worker; only attempts of the newest incarnation that any document names can still be
-// running.
+// earlier incarnations of a worker. Their attempts may still run in the newest incarnation, in which a late start can
+// have taken effect, unless that is another worker.
 func (c *Core) adopt(j *job, id descriptor.TaskID, t *Task, now time.Time) {
 	w := c.workerOn(t.Node)
 	incarnation := descriptor.Incarnation{Worker: t.Worker, Born: t.Born}
-	switch {
-	case incarnation.Born < w.incarnation.Born:
+	if incarnation.Born > w.incarnation.Born {
+		w.incarnation = incarnation
+		for _, r := range w.sortedAttempts() {
+			if r.incarnation.Worker != incarnation.Worker {
+				c.removeAttempt(r, now, "another worker is on the node")
+			}
+			r.incarnation = incarnation
+		}
+	} else if incarnation.Worker != w.incarnation.Worker {
 		t.State = TaskPending
 		c.dirty[id.Job] = true
 		return
-	case incarnation.Born > w.incarnation.Born:
-		c.removeAttempts(w, now, "worker has a new incarnation")
-		w.incarnation = incarnation
 	}
 	c.addAttempt(j, id, t, w, now)
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -123,21 +123,27 @@
 	return orders
 }
 
-// beginIncarnation handles a restart of a worker. No attempt of the former incarnation is running any more, but a
-// start order of the current leader that is still on its way can take effect in the new incarnation, since the worker
-// may keep its id and its clock begins anew. Such an attempt is removed only after the new incarnation has answered a
-// stop.
+// beginIncarnation handles a restart of a worker. No attempt of the former incarnation is running any more, but a start
+// order that is still on its way can take effect in the new incarnation, since the worker may keep its id and its clock
+// begins anew. An attempt that the current leader ordered is removed only after the new incarnation has answered a stop.
+// An attempt of a former leader stays if the lists of the new incarnation show it: they were read under the fence of the
+// current leader, after which the worker refuses the order.
 func (c *Core) beginIncarnation(w *worker, o Observation) []Order {
 	attempts := w.sortedAttempts()
 	*w = worker{node: w.node, incarnation: o.Status.Incarnation, attempts: w.attempts}
 	var orders []Order
 	for _, r := range attempts {
-		if r.job == nil || r.startDeadline == 0 || o.Status.Incarnation.Worker != r.incarnation.Worker {
+		if r.job == nil || o.Status.Incarnation.Worker != r.incarnation.Worker {
 			c.removeAttempt(r, o.Received, "worker has a new incarnation")
 			continue
 		}
-		r.incarnation, r.confirmed, r.startDeadline, r.stopping, r.stopAnswered = w.incarnation, false, noStartDeadline, false, 0
-		orders = append(orders, c.orderStop(r, o.Received, "worker has a new incarnation")...)
+		ordered := r.startDeadline != 0
+		r.incarnation, r.confirmed, r.startDeadline, r.stopping, r.stopAnswered = w.incarnation, false, 0, false, 0
+		r.percent, r.lastListed = 0, 0
+		if ordered {
+			r.startDeadline = noStartDeadline
+			orders = append(orders, c.orderStop(r, o.Received, "worker has a new incarnation")...)
+		}
 	}
 	return orders
 }
