agent: believe another incarnation only when the worker confirms it, send no start after a pause

Cause: one heartbeat with an absurd birth time, or under another id, was taken as a new incarnation for good; the hold and the lists of the real worker were dropped and its heartbeats ignored as older. A shutdown notice, which names no incarnation on the wire, gave up all attempts at once, also a late one that reached the next incarnation. An agent that was paused or suspended between the arrival of a start and its sending sent it however late; the worker's deadline does not refuse it when the worker was restarted, since its clock begins anew. Change: an announced incarnation is polled under its id and taken over when the worker's own lists name its birth time. Service, capacity and place of an incarnation change only when two heartbeats in a row agree. After a shutdown notice the worker is gone once nothing listens at its address. Before each try of a start the agent checks fence, incarnation and the boot time, which counts suspensions, since the order arrived and since the lists were asked for. A smaller birth time no longer rules an incarnation out: the time of day may have gone back between the two. Ruled out: plausibility bounds of birth times alone (a wrong one within them would still capture the agent).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"persimmontrail/internal/recorder"
+	"persimmontrail/internal/timekeeper"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -35,6 +36,14 @@
 	maxStartTries = 3
 	// stopTimeout bounds a stop; the leader repeats it while the worker still lists the attempt.
 	stopTimeout = 400 * time.Millisecond
+	// maxStartDelay is the longest time between the arrival of a start and its last try. The tries take 0.75 s.
+	maxStartDelay = time.Second
+	// maxListsAge is the age, counted from the poll's request, from which the worker's lists are too old to send it a
+	// start. It is the age at which the leader places nothing new on the worker either. Polls take at most pollTimeout.
+	maxListsAge = 1500 * time.Millisecond
+	// candidatePeriod is how long an announced incarnation that the worker does not confirm is remembered. Heartbeats
+	// come every 1.5 s.
+	candidatePeriod = 4 * time.Second
 )
 
 // Agent is the agent of one worker. Its exported fields must be set before Run and Sync.
@@ -47,8 +56,10 @@
 	StartAttempt func(ctx context.Context, incarnation descriptor.Incarnation, fence descriptor.Fence, start Start) (StartAnswer, error)
 	// StopAttempt sends a stop to the worker and returns the worker's clock at the time of its answer.
 	StopAttempt func(ctx context.Context, incarnation descriptor.Incarnation, fence descriptor.Fence, id descriptor.AttemptID) (descriptor.WorkerClock, error)
-	Log         *log.Logger
-	Metrics     *recorder.Metrics
+	// BootTime returns the time since the start of the VM, including suspensions; nil means timekeeper.BootTime.
+	BootTime func() time.Duration
+	Log      *log.Logger
+	Metrics  *recorder.Metrics
 
 	mu sync.Mutex
 	// changed is closed and replaced with each new version; nil until it is first needed.
@@ -59,10 +70,23 @@
 	version uint64
 	// fence is the highest fence that a leader has sent, 0 before the first call.
 	fence descriptor.Fence
-	// hasStatus is true once status holds a heartbeat.
-	hasStatus  bool
+	// hasStatus is true once status holds a heartbeat. status.Incarnation changes only to one that the worker has
+	// confirmed, except while confirmed is false.
+	hasStatus bool
+	status    descriptor.WorkerStatus
+	// confirmed is true once the worker has answered a poll as status.Incarnation.
+	confirmed bool
+	// candidate is the last heartbeat that announced another incarnation than the confirmed one; nil if there is none, or
+	// the worker has denied it.
+	candidate *descriptor.WorkerStatus
+	// candidateAt is when candidate arrived.
+	candidateAt time.Time
+	// contested is the last heartbeat of status.Incarnation that differs from status in facts that do not change during
+	// an incarnation; nil if the last one agreed.
+	contested *descriptor.WorkerStatus
+	// leaving is true once the worker has announced its shutdown; workerGone once nothing of it runs any more.
+	leaving    bool
 	workerGone bool
-	status     descriptor.WorkerStatus
 	// holdUntil and ackedSeq apply to status.Incarnation and never decrease during it.
 	holdUntil descriptor.WorkerClock
 	ackedSeq  int64
@@ -71,52 +95,89 @@
 	lists      AttemptLists
 	hasLists   bool
 	listsFence descriptor.Fence
+	// listsRequestedAt is the boot time at which the request for lists was sent.
+	listsRequestedAt time.Duration
 	// noProcessSince is the time since which each poll was refused a connection; zero if the last poll was not.
 	noProcessSince time.Time
 	// lastPollErr is the error of the last poll, kept to log only changes between success and failure.
 	lastPollErr error
 }
 
-// HandleHeartbeat processes a heartbeat of the worker. It ignores heartbeats of an older incarnation. The first one of
-// a new incarnation discards the hold deadline, the acknowledgement and the lists of the former one.
+// HandleHeartbeat processes a heartbeat. One that announces another incarnation than the confirmed one changes nothing
+// until the worker itself has answered as that incarnation: a heartbeat may be late, or come from another writer.
 func (a *Agent) HandleHeartbeat(status descriptor.WorkerStatus) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.hasStatus && status.Incarnation.Born < a.status.Incarnation.Born {
-		a.Log.Warn("ignored heartbeat of an older incarnation", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born,
-			"known", a.status.Incarnation.Born)
-		return
+	switch {
+	case a.hasStatus && status.Incarnation == a.status.Incarnation:
+		a.candidate = nil
+		a.updateStatus(status)
+	case a.confirmed:
+		a.candidate, a.candidateAt = &status, time.Now()
+		a.wakePollLoop()
+	default:
+		a.beginIncarnation(status)
 	}
-	if status.Incarnation != a.status.Incarnation || !a.hasStatus {
-		a.Log.Info("new worker incarnation", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born, "rack", status.Rack,
-			"accelerators", status.Capacity.Accelerators, "before", a.status.Incarnation.Born)
-		a.holdUntil, a.ackedSeq, a.hasLists, a.lists, a.workerGone = 0, 0, false, AttemptLists{}, false
+}
+
+// beginIncarnation makes the incarnation of a heartbeat the current one, and discards the hold deadline, the
+// acknowledgement and the lists of the former one. The caller holds a.mu.
+func (a *Agent) beginIncarnation(status descriptor.WorkerStatus) {
+	a.Log.Info("new worker incarnation", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born, "rack", status.Rack,
+		"accelerators", status.Capacity.Accelerators, "before", a.status.Incarnation.Born)
+	a.holdUntil, a.ackedSeq, a.hasLists, a.lists, a.workerGone, a.leaving = 0, 0, false, AttemptLists{}, false, false
+	a.noProcessSince, a.candidate, a.contested, a.confirmed = time.Time{}, nil, nil, false
+	a.hasStatus, a.status = true, status
+	a.publish()
+}
+
+// updateStatus takes over a heartbeat of the current incarnation. Facts that do not change during an incarnation are
+// taken over only when two heartbeats in a row agree on them. The caller holds a.mu.
+func (a *Agent) updateStatus(status descriptor.WorkerStatus) {
+	if !sameFacts(status, a.status) {
+		if a.contested == nil || !sameFacts(status, *a.contested) {
+			a.Log.Warn("ignored heartbeat with other facts", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born,
+				"service", status.Service, "accelerators", status.Capacity.Accelerators, "known_service", a.status.Service)
+			a.Metrics.Increment("set_aside_total", "source", "Heartbeat")
+			a.contested = &status
+			return
+		}
 	}
+	a.contested = nil
+	changed := status.Draining != a.status.Draining || !sameFacts(status, a.status)
 	if status.Draining != a.status.Draining {
 		a.Log.Info("worker state changed", "worker", status.Incarnation.Worker, "draining", status.Draining, "remaining_ms", status.DrainRemaining)
 	}
-	if a.workerGone && status.Incarnation == a.status.Incarnation {
+	if a.workerGone {
 		a.Log.Warn("worker considered gone is back in the same incarnation", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born)
-		a.workerGone, a.noProcessSince = false, time.Time{}
+		a.workerGone, a.leaving, a.noProcessSince, changed = false, false, time.Time{}, true
 	}
-	changed := !a.hasStatus || status.Incarnation != a.status.Incarnation || status.Draining != a.status.Draining
-	a.hasStatus, a.status = true, status
+	a.status = status
 	if changed {
 		a.publish()
 	}
 }
 
-// HandleShutdown marks the worker as gone when it announces that it shuts down. It ignores the notice of another
-// worker. A later heartbeat clears the mark.
-func (a *Agent) HandleShutdown(id descriptor.WorkerID) {
+// sameFacts reports whether two heartbeats agree on what stays the same during an incarnation.
+func sameFacts(x, y descriptor.WorkerStatus) bool {
+	return x.Service == y.Service && x.FailureDomain == y.FailureDomain && x.Rack == y.Rack && x.Capacity == y.Capacity &&
+		slices.Equal(x.Labels, y.Labels)
+}
+
+// HandleShutdown notes that the worker has announced its shutdown. From then on it is gone as soon as no process listens
+// at its address. The notice of another worker, or of another incarnation if it names one, is ignored; a late notice may
+// arrive during the next incarnation.
+func (a *Agent) HandleShutdown(incarnation descriptor.Incarnation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.status.Incarnation.Worker != id {
+	if a.status.Incarnation.Worker != incarnation.Worker || incarnation.Born != 0 && a.status.Incarnation.Born != incarnation.Born {
+		a.Log.Warn("ignored shutdown notice of another incarnation", "worker", incarnation.Worker, "born", incarnation.Born,
+			"known", a.status.Incarnation.Born)
 		return
 	}
-	a.Log.Info("worker announced its shutdown", "worker", id, "born", a.status.Incarnation.Born)
-	a.workerGone = true
-	a.publish()
+	a.Log.Info("worker announced its shutdown", "worker", incarnation.Worker, "born", a.status.Incarnation.Born)
+	a.leaving = true
+	a.wakePollLoop()
 }
 
 // publish raises the version of the report, and wakes the calls that wait for it and the poll loop. The caller holds
@@ -171,11 +232,18 @@
 
 // pollWorker polls the worker once and returns the pause before the next poll. It does not poll before a heartbeat and
 // a call of a leader have arrived, nor a worker that is gone. A poll under a new fence asks for the lists without
-// waiting.
+// waiting. While another incarnation is announced, the poll is addressed to that one.
 func (a *Agent) pollWorker(ctx context.Context, wait time.Duration) time.Duration {
 	a.mu.Lock()
+	if a.candidate != nil && time.Since(a.candidateAt) > candidatePeriod {
+		a.candidate = nil
+	}
+	candidate := a.candidate
 	hold := HoldRequest{Incarnation: a.status.Incarnation, Fence: a.fence, AckedSeq: a.ackedSeq, HoldUntil: a.holdUntil, Wait: wait}
-	canPoll := a.hasStatus && !a.workerGone && a.fence > 0
+	if candidate != nil {
+		hold = HoldRequest{Incarnation: candidate.Incarnation, Fence: a.fence}
+	}
+	canPoll := a.hasStatus && (!a.workerGone || candidate != nil) && a.fence > 0
 	if hold.Fence > a.listsFence {
 		hold.Wait = 0
 	}
@@ -185,6 +253,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	requestedAt := a.bootTime()
 	lists, err := a.HoldAttempts(callCtx, hold)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -192,43 +261,70 @@
 		a.Log.Info("result of worker poll changed", "worker", hold.Incarnation.Worker, "born", hold.Incarnation.Born, "err", err)
 	}
 	a.lastPollErr = err
+	if candidate != nil {
+		a.judgeCandidate(candidate, lists, err)
+	}
 	a.detectWorkerGone(hold.Incarnation, err)
 	if err != nil {
 		return pollRetryPause
 	}
-	return a.storeLists(hold, lists)
+	return a.storeLists(hold, lists, requestedAt)
 }
 
-// detectWorkerGone marks the worker as gone once its polls have failed with ErrNoProcess for workerGoneDelay. err is
-// the result of a poll of the given incarnation. The caller holds a.mu.
+// judgeCandidate decides on an announced incarnation by the worker's answer to a poll that was addressed to it. Without
+// an answer it stays a candidate. The caller holds a.mu.
+func (a *Agent) judgeCandidate(candidate *descriptor.WorkerStatus, lists AttemptLists, err error) {
+	if a.candidate != candidate {
+		return
+	}
+	switch {
+	case err == nil && confirms(lists, candidate.Incarnation):
+		a.beginIncarnation(*candidate)
+	case err == nil, errors.Is(err, ErrOtherIncarnation):
+		a.Log.Warn("ignored heartbeat of an incarnation that the worker denies", "worker", candidate.Incarnation.Worker,
+			"born", candidate.Incarnation.Born, "known", a.status.Incarnation.Born, "answered", lists.Incarnation.Born, "err", err)
+		a.Metrics.Increment("set_aside_total", "source", "Heartbeat")
+		a.candidate = nil
+	}
+}
+
+// confirms reports whether lists come from an incarnation. Lists that do not name their incarnation count as the one
+// that was addressed.
+func confirms(lists AttemptLists, incarnation descriptor.Incarnation) bool {
+	return lists.Incarnation.Born == 0 || lists.Incarnation.Born == incarnation.Born
+}
+
+// detectWorkerGone marks the worker as gone once its polls have failed with ErrNoProcess for workerGoneDelay, or once if
+// it has announced its shutdown. err is the result of a poll of the given incarnation. The caller holds a.mu.
 func (a *Agent) detectWorkerGone(incarnation descriptor.Incarnation, err error) {
-	if !errors.Is(err, ErrNoProcess) || incarnation != a.status.Incarnation {
+	if !errors.Is(err, ErrNoProcess) {
 		a.noProcessSince = time.Time{}
 		return
 	}
 	if a.noProcessSince.IsZero() {
 		a.noProcessSince = time.Now()
-		return
 	}
-	if absent := time.Since(a.noProcessSince); absent >= workerGoneDelay && !a.workerGone {
+	absent := time.Since(a.noProcessSince)
+	if (absent >= workerGoneDelay || a.leaving && incarnation == a.status.Incarnation) && !a.workerGone {
 		a.Log.Info("worker process is gone", "worker", incarnation.Worker, "born", incarnation.Born,
-			"no_process_for", absent, "draining", a.status.Draining)
+			"no_process_for", absent, "draining", a.status.Draining, "leaving", a.leaving)
 		a.workerGone = true
 		a.publish()
 	}
 }
 
 // storeLists stores the lists unless they are older than the stored ones or from another incarnation. It returns the
-// pause before the next poll. The caller holds a.mu.
-func (a *Agent) storeLists(hold HoldRequest, lists AttemptLists) time.Duration {
-	if lists.Incarnation.Born != 0 && lists.Incarnation.Born != a.status.Incarnation.Born || hold.Incarnation != a.status.Incarnation {
+// pause before the next poll. requestedAt is the boot time at which the poll was sent. The caller holds a.mu.
+func (a *Agent) storeLists(hold HoldRequest, lists AttemptLists, requestedAt time.Duration) time.Duration {
+	if !confirms(lists, a.status.Incarnation) || hold.Incarnation != a.status.Incarnation {
 		return pollRetryPause
 	}
 	if a.hasLists && lists.Clock < a.lists.Clock {
 		return 0
 	}
-	changed := !a.hasLists || hold.Fence > a.listsFence || !sameAttempts(a.lists, lists)
-	a.lists, a.hasLists, a.listsFence = lists, true, max(a.listsFence, hold.Fence)
+	changed := !a.hasLists || !a.confirmed || hold.Fence > a.listsFence || !sameAttempts(a.lists, lists)
+	a.lists, a.hasLists, a.listsFence, a.confirmed = lists, true, max(a.listsFence, hold.Fence), true
+	a.listsRequestedAt = requestedAt
 	if changed {
 		a.publish()
 		a.clearWake()
@@ -239,6 +335,14 @@
 	return 0
 }
 
+// bootTime returns the time by the clock that also counts suspensions.
+func (a *Agent) bootTime() time.Duration {
+	if a.BootTime != nil {
+		return a.BootTime()
+	}
+	return timekeeper.BootTime()
+}
+
 // clearWake discards a wake-up that the poll loop caused itself. The caller holds a.mu.
 func (a *Agent) clearWake() {
 	select {
@@ -329,19 +433,19 @@
 	return "no"
 }
 
-// startAttempt sends a start until the worker answers, at most maxStartTries times. It refuses the start itself if the
-// worker is draining or gone.
+// startAttempt sends a start until the worker answers, at most maxStartTries times. It refuses the start itself when it
+// may no longer send it.
 func (a *Agent) startAttempt(ctx context.Context, request SyncRequest, start Start) Result {
 	result := Result{AttemptID: start.AttemptID}
-	if a.drainingOrGone() {
-		// Orders sent before the leader learned of the drain must not start anything after it.
-		result.Refused = descriptor.RefusedDraining
-		a.Log.Info("start refused", "job", start.Task.Job, "task", start.Task, "run", start.Attempt, "reason", "worker is draining")
-		return result
-	}
+	arrivedAt := a.bootTime()
 	var err error
 	unanswered := false
 	for try := range maxStartTries {
+		if refused := a.checkStart(request, arrivedAt); refused != "" {
+			a.Log.Info("start refused", "job", start.Task.Job, "task", start.Task, "run", start.Attempt, "try", try+1, "reason", refused)
+			result.Refused, err = refused, nil
+			break
+		}
 		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 		var answer StartAnswer
 		lastClock := a.lastClock()
@@ -369,6 +473,27 @@
 	return result
 }
 
+// checkStart returns why the agent must not send a start that arrived at the given boot time, or an empty refusal if it
+// may. The worker's deadline does not stop a late start for a former incarnation, because the clock of the new one begins
+// anew. So after a pause of this process nothing is sent until the worker has been polled again.
+func (a *Agent) checkStart(request SyncRequest, arrivedAt time.Duration) descriptor.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.bootTime()
+	switch {
+	case request.Fence < a.fence:
+		return descriptor.RefusedFence
+	case a.status.Draining || a.workerGone || a.leaving:
+		// Orders sent before the leader learned of the drain must not start anything after it.
+		return descriptor.RefusedDraining
+	case request.Incarnation != a.status.Incarnation:
+		return descriptor.RefusedIncarnation
+	case now-arrivedAt > maxStartDelay, a.hasLists && now-a.listsRequestedAt > maxListsAge:
+		return descriptor.RefusedDelayed
+	}
+	return ""
+}
+
 // errNewIncarnation means that the clock in an answer is behind a clock that the worker reported before: the worker was
 // restarted under the same id. The answer comes from an incarnation whose heartbeat has not arrived yet.
 var errNewIncarnation = errors.New("a new incarnation of the worker answered")
@@ -383,12 +508,6 @@
 	return a.lists.Clock
 }
 
-func (a *Agent) drainingOrGone() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.status.Draining || a.workerGone
-}
-
 // awaitChange waits, up to request.Wait, until the version of the report differs from request.KnownVersion.
 func (a *Agent) awaitChange(ctx context.Context, request SyncRequest) {
 	t := time.NewTimer(request.Wait)
@@ -418,7 +537,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return Report{
-		Node: a.Node, Version: a.version, Fence: a.fence, HasStatus: a.hasStatus, Status: a.status, WorkerGone: a.workerGone,
+		Node: a.Node, Version: a.version, Fence: a.fence, HasStatus: a.confirmed, Status: a.status, WorkerGone: a.workerGone,
 		ListsCurrent: a.hasLists && a.listsFence == a.fence, Clock: a.lists.Clock,
 		Running: a.lists.Running, Ended: a.lists.Ended, Results: results,
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1,10 +1,12 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +22,9 @@
 
 // fakeWorker is an in-memory worker that refuses lower fences. Its attempts end only when a test ends them.
 type fakeWorker struct {
-	mu         sync.Mutex
+	mu sync.Mutex
+	// born identifies the worker's incarnation; 0 means that of the variable incarnation.
+	born       int64
 	fence      descriptor.Fence
 	holdUntil  descriptor.WorkerClock
 	ackedSeq   int64
@@ -39,6 +43,19 @@
 	return descriptor.WorkerClock(time.Since(f.clockOrigin).Milliseconds())
 }
 
+// incarnation returns the worker's incarnation. The caller holds f.mu.
+func (f *fakeWorker) incarnation() descriptor.Incarnation {
+	return descriptor.Incarnation{Worker: incarnation.Worker, Born: cmp.Or(f.born, incarnation.Born)}
+}
+
+// restart begins a new incarnation of the worker.
+func (f *fakeWorker) restart(born int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.born, f.fence, f.holdUntil, f.ackedSeq, f.attempts, f.ended = born, 0, 0, 0, nil, nil
+	f.clockOrigin, f.processGone = time.Now(), false
+}
+
 func (f *fakeWorker) hold(ctx context.Context, h HoldRequest) (AttemptLists, error) {
 	select {
 	case <-time.After(h.Wait + time.Millisecond):
@@ -50,19 +67,22 @@
 	if f.processGone {
 		return AttemptLists{}, ErrNoProcess
 	}
+	if h.Incarnation.Worker != incarnation.Worker {
+		return AttemptLists{}, ErrOtherIncarnation
+	}
 	if h.Fence < f.fence {
 		return AttemptLists{}, ErrRefused
 	}
 	f.fence, f.holdUntil, f.ackedSeq = h.Fence, max(f.holdUntil, h.HoldUntil), max(f.ackedSeq, h.AckedSeq)
 	f.ended = slices.DeleteFunc(f.ended, func(e descriptor.AttemptEnd) bool { return e.Seq <= f.ackedSeq })
-	return AttemptLists{Incarnation: incarnation, Clock: f.clock(), Running: slices.Clone(f.attempts), Ended: slices.Clone(f.ended)}, nil
+	return AttemptLists{Incarnation: f.incarnation(), Clock: f.clock(), Running: slices.Clone(f.attempts), Ended: slices.Clone(f.ended)}, nil
 }
 
 func (f *fakeWorker) start(_ context.Context, i descriptor.Incarnation, fence descriptor.Fence, s Start) (StartAnswer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.startCalls++
-	if i != incarnation {
+	if i.Worker != incarnation.Worker {
 		return StartAnswer{}, ErrOtherIncarnation
 	}
 	if fence < f.fence {
@@ -89,7 +109,9 @@
 func newAgent(t *testing.T, f *fakeWorker) *Agent {
 	t.Helper()
 	f.clockOrigin = time.Now()
+	start := time.Now()
 	a := &Agent{
+		BootTime: func() time.Duration { return time.Since(start) },
 		Node: "n", HoldAttempts: f.hold, StartAttempt: f.start, Log: log.New(io.Discard), Metrics: &recorder.Metrics{},
 		StopAttempt: func(context.Context, descriptor.Incarnation, descriptor.Fence, descriptor.AttemptID) (descriptor.WorkerClock, error) {
 			f.mu.Lock()
@@ -190,12 +212,176 @@
 	synctest.Test(t, func(t *testing.T) {
 		worker := &fakeWorker{}
 		agent := newAgent(t, worker)
+		agent.Sync(t.Context(), SyncRequest{Fence: 1})
+		worker.restart(2)
 		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: descriptor.Incarnation{Worker: "w", Born: 2}, Service: "s"})
+		time.Sleep(time.Second)
 		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, HoldUntil: 99999, Starts: []Start{{AttemptID: attemptID(0, 1)}}})
 		assert.Equal(t, worker.startCalls, 0)
 		// A heartbeat delayed by a partition does not bring back the former incarnation.
 		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s"})
+		time.Sleep(time.Second)
 		assert.Equal(t, agent.Sync(t.Context(), SyncRequest{Fence: 1}).Status.Incarnation.Born, int64(2))
+		_, holdUntil, _ := worker.received()
+		assert.Equal(t, holdUntil, descriptor.WorkerClock(0))
+	})
+}
+
+// TestOddHeartbeatIsNotBelieved guards against a heartbeat of another writer that captures the agent: every later
+// heartbeat of the real worker was taken for that of an older incarnation, and its attempts were given up. The report
+// must stay that of the real worker, whose hold goes on.
+func TestOddHeartbeatIsNotBelieved(t *testing.T) {
+	real := descriptor.WorkerStatus{Incarnation: incarnation, Service: "s"}
+	with := func(change func(*descriptor.WorkerStatus)) descriptor.WorkerStatus {
+		s := real
+		change(&s)
+		return s
+	}
+	for name, odd := range map[string]descriptor.WorkerStatus{
+		"born in the far future": with(func(s *descriptor.WorkerStatus) { s.Incarnation.Born = 9e18 }),
+		"born earlier":           with(func(s *descriptor.WorkerStatus) { s.Incarnation.Born = -5 }),
+		"another worker":         with(func(s *descriptor.WorkerStatus) { s.Incarnation.Worker = "x" }),
+		"another service":        with(func(s *descriptor.WorkerStatus) { s.Service = "x" }),
+		"no capacity":            with(func(s *descriptor.WorkerStatus) { s.Capacity.Accelerators = -8 }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{attempts: []descriptor.AttemptStatus{{AttemptID: attemptID(0, 1)}}}
+				agent := newAgent(t, worker)
+				agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+				time.Sleep(time.Second)
+				agent.HandleHeartbeat(odd)
+				for i := range 20 {
+					time.Sleep(100 * time.Millisecond)
+					report := agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, HoldUntil: descriptor.WorkerClock(9000 + i)})
+					assert.DeepEqual(t, report.Status, real)
+					assert.Assert(t, report.HasStatus && report.ListsCurrent && !report.WorkerGone)
+					assert.Equal(t, len(report.Running), 1)
+				}
+				agent.HandleHeartbeat(real)
+				time.Sleep(time.Second)
+				_, holdUntil, _ := worker.received()
+				assert.Equal(t, holdUntil, descriptor.WorkerClock(9019))
+			})
+		})
+	}
+}
+
+// TestOddFirstHeartbeatEnds guards against an agent whose first heartbeat came from another writer and that ignores the
+// real worker from then on.
+func TestOddFirstHeartbeatEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		agent := newAgent(t, worker)
+		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: descriptor.Incarnation{Worker: "w", Born: 9e18}, Service: "s"})
+		agent.Sync(t.Context(), SyncRequest{Fence: 1})
+		time.Sleep(time.Second)
+		assert.Assert(t, !agent.Sync(t.Context(), SyncRequest{Fence: 1}).HasStatus, "the worker has not confirmed it")
+		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s"})
+		time.Sleep(time.Second)
+		report := agent.Sync(t.Context(), SyncRequest{Fence: 1})
+		assert.Assert(t, report.HasStatus && report.ListsCurrent)
+		assert.Equal(t, report.Status.Incarnation, incarnation)
+	})
+}
+
+// TestIncarnationBornBeforeFormerOne guards against a worker that is lost because its VM's time of day went back between
+// two incarnations, so that the later one has the smaller birth time.
+func TestIncarnationBornBeforeFormerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		agent := newAgent(t, worker)
+		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+		time.Sleep(time.Second)
+		worker.restart(-3)
+		later := descriptor.Incarnation{Worker: "w", Born: -3}
+		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: later, Service: "s"})
+		time.Sleep(time.Second)
+		assert.Equal(t, agent.Sync(t.Context(), SyncRequest{Fence: 1}).Status.Incarnation, later)
+	})
+}
+
+// TestShutdownNoticeIsChecked guards against a shutdown notice that is late, or from another writer, and makes the leader
+// start the attempts of a live worker elsewhere. After a true one the worker counts as gone as soon as it has no process.
+func TestShutdownNoticeIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		agent := newAgent(t, worker)
+		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+		time.Sleep(time.Second)
+		agent.HandleShutdown(descriptor.Incarnation{Worker: "w", Born: 99})
+		agent.HandleShutdown(descriptor.Incarnation{Worker: "w"})
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !agent.Sync(t.Context(), SyncRequest{Fence: 1}).WorkerGone)
+		worker.mu.Lock()
+		worker.processGone = true
+		worker.mu.Unlock()
+		time.Sleep(pollWait + 50*time.Millisecond)
+		assert.Assert(t, agent.Sync(t.Context(), SyncRequest{Fence: 1}).WorkerGone)
+	})
+}
+
+// TestPausedAgentSendsNoStart guards against an agent that was paused and then sends a start of long ago. The worker's
+// deadline does not refuse it if the worker was restarted meanwhile, since its clock began anew.
+func TestPausedAgentSendsNoStart(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// pauseInTry is true for a pause during the first try, false for one before the order arrives.
+		pauseInTry bool
+		wantStarts int
+		// The first try may still take effect, so the result after it is unknown.
+		wantRefused descriptor.Refusal
+	}{
+		{"before the order", false, 0, descriptor.RefusedDelayed},
+		{"between two tries", true, 1, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{lostAnswers: 1}
+				agent := newAgent(t, worker)
+				var paused atomic.Int64
+				bootTime := agent.BootTime
+				agent.BootTime = func() time.Duration { return bootTime() + time.Duration(paused.Load()) }
+				agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+				time.Sleep(time.Second)
+				if test.pauseInTry {
+					start := agent.StartAttempt
+					agent.StartAttempt = func(ctx context.Context, i descriptor.Incarnation, f descriptor.Fence, s Start) (StartAnswer, error) {
+						paused.Store(int64(4 * time.Second))
+						return start(ctx, i, f, s)
+					}
+				} else {
+					paused.Store(int64(4 * time.Second))
+				}
+				report := agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, Starts: []Start{{AttemptID: attemptID(0, 1)}}})
+				assert.Equal(t, worker.startCalls, test.wantStarts)
+				assert.Assert(t, !report.Results[0].Started)
+				assert.Equal(t, report.Results[0].Refused, test.wantRefused)
+				// After the next poll, starts are sent again.
+				time.Sleep(time.Second)
+				report = agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, Starts: []Start{{AttemptID: attemptID(1, 1)}}})
+				assert.Assert(t, test.pauseInTry || report.Results[0].Started)
+			})
+		})
+	}
+}
+
+// TestStartIsNotRepeatedForReplacedLeader guards against a start that is tried again after a newer leader has called.
+func TestStartIsNotRepeatedForReplacedLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		agent := newAgent(t, worker)
+		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+		time.Sleep(time.Second)
+		tries := 0
+		agent.StartAttempt = func(context.Context, descriptor.Incarnation, descriptor.Fence, Start) (StartAnswer, error) {
+			tries++
+			agent.Sync(t.Context(), SyncRequest{Fence: 2, Incarnation: incarnation})
+			return StartAnswer{}, ErrNoAnswer
+		}
+		report := agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, Starts: []Start{{AttemptID: attemptID(0, 1)}}})
+		assert.Equal(t, tries, 1)
+		assert.Equal(t, report.Results[0].Refused, descriptor.Refusal(""))
 	})
 }
 
@@ -269,8 +455,9 @@
 		assert.Assert(t, !agent.Sync(t.Context(), SyncRequest{Fence: 1}).WorkerGone)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, agent.Sync(t.Context(), SyncRequest{Fence: 1}).WorkerGone)
-		setProcessGone(false)
+		worker.restart(2)
 		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: descriptor.Incarnation{Worker: "w", Born: 2}, Service: "s"})
+		time.Sleep(100 * time.Millisecond)
 		assert.Assert(t, !agent.Sync(t.Context(), SyncRequest{Fence: 1}).WorkerGone)
 	})
 }
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -56,7 +56,7 @@
 	Version uint64
 	// Fence is the highest fence that the agent has seen.
 	Fence descriptor.Fence
-	// HasStatus is true if Status holds the worker's last heartbeat.
+	// HasStatus is true if Status holds the last heartbeat of an incarnation that the worker itself has confirmed.
 	HasStatus bool
 	Status    descriptor.WorkerStatus
 	// WorkerGone is true if the worker announced its shutdown or has no process any more, so that nothing runs.
--- a/pkg/descriptor/attempts.go
+++ b/pkg/descriptor/attempts.go
@@ -105,4 +105,7 @@
 	RefusedIncarnation Refusal = "Life"
 	// RefusedDraining means that the agent did not forward the order because the worker is draining.
 	RefusedDraining Refusal = "Draining"
+	// RefusedDelayed means that the agent did not forward the order because it was delayed, or because the agent's own
+	// knowledge of the worker is too old.
+	RefusedDelayed Refusal = "Delayed"
 )
