leader: odd documents are set aside, a panic costs one term and one workload, an expired lease sends nothing

Cause: documents of the store were believed as decoded. A record with a count below 0 made the planner panic, one with an absurd count exhausted the memory; the term's goroutine did not recover, so each successor ended as it loaded. A submission could do the same: the sum of two counts of 2^62 overflowed and passed the check. Change: records and progress are checked against their key and each other before they are used; agents' documents too (node, port). What fails is logged, counted and left out. A panic ends the term; the next one is rebuilt from the store without the workload that was processed, until its record changes; the pause before the next campaign doubles. A call to an agent is not sent once the lease has ended by the clock that counts suspensions. Mirror: a late item of a key that was removed is no longer taken back. Overlapping occurrences of one workload are bounded.

--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -144,8 +144,15 @@
 // not wait for the answer, and sends nothing if this entry leads or the leader is unknown or unreachable.
 func (a *Admitter) notifyLeader(i archiver.Item) {
 	item, ok := a.Documents.Get(archiver.LeaderKey)
-	var leader archiver.Member
-	if !ok || archiver.Decode(item.Value, &leader) != nil || leader.Node == a.Node || a.isUnreachable(leader) {
+	if !ok {
+		return
+	}
+	leader, err := archiver.DecodeMember(item)
+	if err != nil {
+		a.Log.Debug("document set aside", "key", item.Key, "revision", item.Revision, "err", err)
+		return
+	}
+	if leader.Node == a.Node || a.isUnreachable(leader) {
 		return
 	}
 	body, err := cbor.Marshal(i)
@@ -169,9 +176,10 @@
 		if kind != archiver.KindEntry && kind != archiver.KindLeader {
 			return true
 		}
-		var m archiver.Member
-		if err := archiver.Decode(i.Value, &m); err != nil {
-			a.Log.Error("failed to decode document", "key", i.Key, "err", err)
+		m, err := archiver.DecodeMember(i)
+		if err != nil {
+			// Debug, since this is met at each forwarded call.
+			a.Log.Debug("document set aside", "key", i.Key, "revision", i.Revision, "err", err)
 			return true
 		}
 		if kind == archiver.KindLeader {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -112,7 +112,7 @@
 	start := time.Now()
 	a := &Agent{
 		BootTime: func() time.Duration { return time.Since(start) },
-		Node: "n", HoldAttempts: f.hold, StartAttempt: f.start, Log: log.New(io.Discard), Metrics: &recorder.Metrics{},
+		Node:     "n", HoldAttempts: f.hold, StartAttempt: f.start, Log: log.New(io.Discard), Metrics: &recorder.Metrics{},
 		StopAttempt: func(context.Context, descriptor.Incarnation, descriptor.Fence, descriptor.AttemptID) (descriptor.WorkerClock, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/archiver/documents.go
+++ b/internal/archiver/documents.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"compress/flate"
+	"errors"
 	"fmt"
 	"io"
+	"net"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -78,6 +81,37 @@
 	Address string
 }
 
+// ErrMember means that a document does not describe the process that its key names.
+var ErrMember = errors.New("invalid member document")
+
+// DecodeMember decodes the Member in an item. It returns ErrMember if the item's key is for another node, or if the
+// address is none that a process can be called at.
+func DecodeMember(i Item) (Member, error) {
+	var m Member
+	if err := Decode(i.Value, &m); err != nil {
+		return Member{}, fmt.Errorf("%w: %w", ErrMember, err)
+	}
+	if kind, node := ParseKey(i.Key); m.Node == "" || kind != KindLeader && node != m.Node {
+		return Member{}, fmt.Errorf("%w: node %q under key %q", ErrMember, m.Node, i.Key)
+	}
+	if err := checkAddress(m.Address); err != nil {
+		return Member{}, fmt.Errorf("%w: address %.100q: %w", ErrMember, m.Address, err)
+	}
+	return m, nil
+}
+
+// checkAddress returns an error unless address is a host and a port that can be called.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return errors.New("want a host and a port from 1 to 65535")
+	}
+	return nil
+}
+
 const (
 	// compressedMarker is the first byte of a compressed document. No CBOR map or array begins with it.
 	compressedMarker = 0x01
--- a/internal/archiver/documents_test.go
+++ b/internal/archiver/documents_test.go
@@ -43,6 +43,35 @@
 	}
 }
 
+// TestDecodeMember guards against a process that is called at an address that another writer left, or that stands under
+// the key of another process.
+func TestDecodeMember(t *testing.T) {
+	for _, test := range []struct {
+		key    string
+		member archiver.Member
+		valid  bool
+	}{
+		{archiver.AgentKey("n1"), archiver.Member{Node: "n1", Address: "10.0.0.1:7000"}, true},
+		{archiver.LeaderKey, archiver.Member{Node: "n1", Address: "host:7000"}, true},
+		{archiver.AgentKey("n2"), archiver.Member{Node: "n1", Address: "10.0.0.1:7000"}, false},
+		{archiver.EntryKey(""), archiver.Member{Address: "10.0.0.1:7000"}, false},
+		{archiver.AgentKey("n1"), archiver.Member{Node: "n1", Address: "10.0.0.1:70000"}, false},
+		{archiver.AgentKey("n1"), archiver.Member{Node: "n1", Address: "10.0.0.1:0"}, false},
+		{archiver.AgentKey("n1"), archiver.Member{Node: "n1", Address: "10.0.0.1"}, false},
+		{archiver.AgentKey("n1"), archiver.Member{Node: "n1"}, false},
+	} {
+		m, err := archiver.DecodeMember(archiver.Item{Key: test.key, Value: archiver.Encode(test.member)})
+		if test.valid {
+			assert.NilError(t, err)
+			assert.Equal(t, m, test.member)
+			continue
+		}
+		assert.ErrorIs(t, err, archiver.ErrMember, "%+v", test)
+	}
+	_, err := archiver.DecodeMember(archiver.Item{Key: archiver.LeaderKey, Value: []byte{0xff}})
+	assert.ErrorIs(t, err, archiver.ErrMember)
+}
+
 // FuzzDecode guards against a panic on a document that this package did not write.
 func FuzzDecode(f *testing.F) {
 	f.Add(archiver.Encode(archiver.Member{Node: "n"}))
--- a/internal/archiver/mirror.go
+++ b/internal/archiver/mirror.go
@@ -43,8 +43,8 @@
 	items map[string]Item
 	// confirmed is the time at which the last successful call was sent; items contains all changes up to then.
 	confirmed time.Time
-	// loaded is true once a call has succeeded.
-	loaded bool
+	// complete is the revision up to which items contains all changes; 0 before the first load.
+	complete Revision
 	// disconnected is true if the last call failed, except with ErrCompacted, or if ReportFailure has reported a
 	// timeout since.
 	disconnected bool
@@ -93,7 +93,7 @@
 			m.apply(Event{Item: Item{Key: k, Revision: revision}, Removed: true})
 		}
 	}
-	m.setConfirmed(sentAt)
+	m.setConfirmed(sentAt, revision)
 	return revision, nil
 }
 
@@ -107,7 +107,7 @@
 	for _, e := range events {
 		m.apply(e)
 	}
-	m.setConfirmed(sentAt)
+	m.setConfirmed(sentAt, max(after, current))
 	if m.BatchDelay != nil && len(events) > 0 {
 		sleep(ctx, m.BatchDelay())
 	}
@@ -115,7 +115,7 @@
 }
 
 // apply records a change unless the mirror already holds the same or a newer revision of the key; a removal is recorded
-// also at the same revision. Nothing is kept of a removed key, so a late item of it is added again.
+// also at the same revision.
 func (m *Mirror) apply(e Event) {
 	m.mu.Lock()
 	old, known := m.items[e.Key]
@@ -137,8 +137,17 @@
 	}
 }
 
-// Merge applies an item that was read or written by a call outside the mirror.
-func (m *Mirror) Merge(i Item) { m.apply(Event{Item: i}) }
+// Merge applies an item that was read or written by a call outside the mirror. It ignores an item that is late: one of
+// a key that the mirror does not hold, although it holds all changes up to the item's revision, was removed since.
+func (m *Mirror) Merge(i Item) {
+	m.mu.Lock()
+	_, known := m.items[i.Key]
+	removed := !known && i.Revision <= m.complete
+	m.mu.Unlock()
+	if !removed {
+		m.apply(Event{Item: i})
+	}
+}
 
 func (m *Mirror) keys() []string {
 	m.mu.Lock()
@@ -150,9 +159,9 @@
 	return keys
 }
 
-func (m *Mirror) setConfirmed(sentAt time.Time) {
+func (m *Mirror) setConfirmed(sentAt time.Time, complete Revision) {
 	m.mu.Lock()
-	m.confirmed, m.loaded = sentAt, true
+	m.confirmed, m.complete = sentAt, max(m.complete, complete)
 	reconnected := m.disconnected
 	m.disconnected = false
 	m.mu.Unlock()
--- a/internal/archiver/mirror_test.go
+++ b/internal/archiver/mirror_test.go
@@ -152,3 +152,36 @@
 		assert.Assert(t, currentRevision()-i.Revision <= 11, "%d of %d", i.Revision, currentRevision())
 	})
 }
+
+// TestMirrorIgnoresLateItemOfRemovedKey guards against a key that operators or the leader have removed and that a late
+// message of another process brings back: the mirror's watch does not report the removal again.
+func TestMirrorIgnoresLateItemOfRemovedKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fakeStore()
+		s.Range = func(context.Context, string, string) ([]archiver.Item, bool, archiver.Revision, error) {
+			return []archiver.Item{{Key: "kept", Revision: 3}, {Key: "removed", Revision: 4}}, false, 10, nil
+		}
+		watch := s.Watch
+		var watchCalls atomic.Int32
+		s.Watch = func(ctx context.Context, p string, after archiver.Revision, wait time.Duration) ([]archiver.Event, archiver.Revision, error) {
+			if watchCalls.Add(1) == 1 {
+				return []archiver.Event{{Item: archiver.Item{Key: "removed", Revision: 12}, Removed: true}}, 12, nil
+			}
+			return watch(ctx, p, after, wait)
+		}
+		m := &archiver.Mirror{Store: s, Log: log.New(io.Discard)}
+		m.Merge(archiver.Item{Key: "before the load", Revision: 2})
+		startMirror(t, m)
+		time.Sleep(time.Second)
+		for _, late := range []archiver.Item{{Key: "removed", Revision: 4}, {Key: "removed before the load", Revision: 9}} {
+			m.Merge(late)
+			_, ok := m.Get(late.Key)
+			assert.Assert(t, !ok, late.Key)
+		}
+		m.Merge(archiver.Item{Key: "removed", Revision: 13})
+		_, ok := m.Get("removed")
+		assert.Assert(t, ok, "a new item of the key")
+		_, ok = m.Get("before the load")
+		assert.Assert(t, !ok)
+	})
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -28,6 +28,7 @@
 	"persimmontrail/internal/archiver"
 	"persimmontrail/internal/planner"
 	"persimmontrail/internal/recorder"
+	"persimmontrail/internal/timekeeper"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -47,6 +48,10 @@
 	// campaignDelayRoundTrips is the delay before an entry tries to create the leader key, in round trips to the store, so
 	// that an entry close to the store is preferred.
 	campaignDelayRoundTrips = 6
+	// panicBackoff is half of the pause before the next campaign after a panic has ended a term. The pause doubles with
+	// each further term that ends so, maxPanicBackoffDoublings times.
+	panicBackoff             = 250 * time.Millisecond
+	maxPanicBackoffDoublings = 6
 )
 
 // Leader campaigns for leadership and schedules jobs while it leads. Its exported fields must be set before Run.
@@ -65,12 +70,19 @@
 	// EndedRetention is how long ended workloads stay readable, counted from when the current leader first saw them as
 	// ended.
 	EndedRetention time.Duration
-	Log            *log.Logger
-	Metrics        *recorder.Metrics
+	// BootTime returns the time since the start of the VM, including suspensions; nil means timekeeper.BootTime.
+	BootTime func() time.Duration
+	Log      *log.Logger
+	Metrics  *recorder.Metrics
 
 	mu sync.Mutex
 	// term is nil while this process does not lead.
 	term *term
+	// setAside holds the workloads that made this process's planner panic, with the revision of their record then. They
+	// are left out until the record changes.
+	setAside map[descriptor.JobID]archiver.Revision
+	// panicCount is the number of terms in a row that a panic has ended.
+	panicCount int
 }
 
 // Settings are the operators' settings that concern the leader.
@@ -121,7 +133,13 @@
 			sleep(ctx, retryPause+rand.N(retryPause))
 			continue
 		}
-		ld.lead(ctx, lease, fence, requestedAt)
+		if err := ld.lead(ctx, lease, fence, requestedAt); errors.Is(err, errPanic) {
+			// Another entry may lead better; this one comes back in case that no other does.
+			ld.panicCount = min(ld.panicCount+1, maxPanicBackoffDoublings)
+			sleep(ctx, panicBackoff<<ld.panicCount)
+		} else {
+			ld.panicCount = 0
+		}
 	}
 }
 
@@ -171,19 +189,19 @@
 }
 
 // lead leads for one term, which ends if the lease may have expired, if the term fails or when ctx is done. It then
-// revokes the lease and repeats that until the lease has ended or ctx is done.
-func (ld *Leader) lead(ctx context.Context, lease archiver.LeaseID, fence descriptor.Fence, requestedAt time.Time) {
+// revokes the lease and repeats that until the lease has ended or ctx is done. It returns the error that ended the term.
+func (ld *Leader) lead(ctx context.Context, lease archiver.LeaseID, fence descriptor.Fence, requestedAt time.Time) error {
 	ld.Log.Info("elected as leader", "fence", fence, "node", ld.Node)
 	ld.Metrics.Increment("terms_total")
 	termCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t := newTerm(ld, fence)
+	t.setLeaseEnd(ld.bootTime() - time.Since(requestedAt) + leaderLeaseTTL)
 	ld.setTerm(t)
 	var wg sync.WaitGroup
-	wg.Go(func() { ld.renew(termCtx, cancel, lease, requestedAt) })
-	if err := t.run(termCtx); err != nil {
-		cancel(err)
-	}
+	wg.Go(func() { ld.renew(termCtx, cancel, lease, requestedAt, t) })
+	termErr := t.runContained(termCtx)
+	cancel(termErr)
 	ld.setTerm(nil)
 	cancel(nil)
 	wg.Wait()
@@ -192,6 +210,15 @@
 	for !ld.revokeLease(ctx, lease) && ctx.Err() == nil {
 		sleep(ctx, retryPause)
 	}
+	return termErr
+}
+
+// bootTime returns the time by the clock that also counts suspensions.
+func (ld *Leader) bootTime() time.Duration {
+	if ld.BootTime != nil {
+		return ld.BootTime()
+	}
+	return timekeeper.BootTime()
 }
 
 func (ld *Leader) setTerm(t *term) {
@@ -203,24 +230,25 @@
 var errLeaseExpired = errors.New("leader lease not renewed in time")
 
 // renew renews the lease periodically and cancels the term before the lease can expire.
-func (ld *Leader) renew(ctx context.Context, cancel context.CancelCauseFunc, lease archiver.LeaseID, requestedAt time.Time) {
+func (ld *Leader) renew(ctx context.Context, cancel context.CancelCauseFunc, lease archiver.LeaseID, requestedAt time.Time, t *term) {
 	validUntil := requestedAt.Add(leaderLeaseTTL)
 	for ctx.Err() == nil {
 		sleep(ctx, renewInterval)
-		sentAt := time.Now()
+		sentAt, sentAtBoot := time.Now(), ld.bootTime()
 		callCtx, cancelCall := context.WithDeadline(ctx, earlier(sentAt.Add(storeTimeout), validUntil))
 		err := ld.Store.Renew(callCtx, lease)
 		cancelCall()
 		switch {
 		case err == nil:
 			validUntil = sentAt.Add(leaderLeaseTTL)
+			t.setLeaseEnd(sentAtBoot + leaderLeaseTTL)
 		case errors.Is(err, archiver.ErrLeaseLost):
 			cancel(err)
 			return
 		case ctx.Err() == nil:
 			ld.Log.Warn("failed to renew leader lease", "err", err, "left", time.Until(validUntil))
 		}
-		if time.Now().After(validUntil) {
+		if time.Now().After(validUntil) || t.leaseExpired() {
 			cancel(errLeaseExpired)
 			return
 		}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -89,9 +89,9 @@
 // addAgent opens a link to an agent, or replaces the link if the agent's address has changed. A replacement keeps what
 // is known of the worker's clock, incarnation and hold deadline.
 func (t *term) addAgent(ctx context.Context, item archiver.Item) {
-	var member archiver.Member
-	if err := archiver.Decode(item.Value, &member); err != nil || member.Node == "" || member.Address == "" {
-		t.leader.Log.Error("failed to decode document", "key", item.Key, "revision", item.Revision, "err", err)
+	member, err := archiver.DecodeMember(item)
+	if err != nil {
+		t.leader.setAsideDocument(item, err)
 		return
 	}
 	old := t.links[member.Node]
@@ -194,8 +194,13 @@
 	}
 }
 
+// call sends a message to the agent and returns its report. It sends nothing once the term's lease may have expired, which
+// a process that was paused may not have noticed yet.
 func (l *link) call(ctx context.Context, message agent.SyncRequest, timeout time.Duration) (agent.Report, error) {
 	var report agent.Report
+	if l.term.leaseExpired() {
+		return report, errLeaseExpired
+	}
 	body, err := cbor.Marshal(message)
 	if err != nil {
 		return report, err
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -29,8 +29,8 @@
 	sweepInterval = 5 * time.Second
 )
 
-// term is one period of leadership. Its fields belong to the goroutine of run, with three exceptions: agentCount is
-// atomic, mu guards inbox, and any goroutine may read the fields that do not change after run has started.
+// term is one period of leadership. Its fields belong to the goroutine of run, with these exceptions: agentCount and
+// leaseEnd are atomic, mu guards inbox, and any goroutine may read the fields that do not change after run has started.
 type term struct {
 	leader *Leader
 	fence  descriptor.Fence
@@ -41,6 +41,10 @@
 	agentCount atomic.Int64
 	// revisions holds the revision of each Progress document as last written or read.
 	revisions map[descriptor.JobID]archiver.Revision
+	// recordRevisions holds the revision of each Record as last read.
+	recordRevisions map[descriptor.JobID]archiver.Revision
+	// leaseEnd is the boot time in nanoseconds at which the lease may expire; 0 until it is known.
+	leaseEnd atomic.Int64
 	// endedSince holds the time at which each ended workload was first seen as ended.
 	endedSince map[descriptor.JobID]time.Time
 	// writeNumber is the number of the last progress write of this term. It is stored in Progress.Change.
@@ -63,7 +67,7 @@
 func newTerm(ld *Leader, fence descriptor.Fence) *term {
 	t := &term{
 		leader: ld, fence: fence, core: planner.New(ld.Limits), links: map[string]*link{},
-		revisions: map[descriptor.JobID]archiver.Revision{}, endedSince: map[descriptor.JobID]time.Time{},
+		revisions: map[descriptor.JobID]archiver.Revision{}, recordRevisions: map[descriptor.JobID]archiver.Revision{}, endedSince: map[descriptor.JobID]time.Time{},
 		wakeup: make(chan struct{}, 1), startedAt: time.Now(),
 	}
 	t.core.LogEvent = func(message string, job descriptor.JobID, details ...any) {
@@ -122,6 +126,15 @@
 	}
 }
 
+// setLeaseEnd records the boot time at which the lease may expire.
+func (t *term) setLeaseEnd(end time.Duration) { t.leaseEnd.Store(int64(end)) }
+
+// leaseExpired reports whether the lease may have expired.
+func (t *term) leaseExpired() bool {
+	end := t.leaseEnd.Load()
+	return end != 0 && t.leader.bootTime() >= time.Duration(end)
+}
+
 // minRoundDelay returns how long the next round is delayed: not at all if anything but progress has changed, else for
 // the rest of progressRoundInterval, or until the next plan is due if that is earlier.
 func (t *term) minRoundDelay() time.Duration {
@@ -163,38 +176,68 @@
 		t.leader.Log.Warn("failed to read documents, retrying", "err", err)
 		sleep(ctx, retryPause)
 	}
-	records, progress := map[descriptor.JobID]planner.Record{}, map[descriptor.JobID]planner.Progress{}
+	loaded := 0
+	progress := map[descriptor.JobID]archiver.Item{}
 	for _, i := range items {
 		t.leader.Mirror.Merge(i)
-		kind, name := archiver.ParseKey(i.Key)
-		var err error
-		switch kind {
-		case archiver.KindJob:
-			var r planner.Record
-			if err = archiver.Decode(i.Value, &r); err == nil {
-				records[descriptor.JobID(name)] = r
-			}
+		switch kind, name := archiver.ParseKey(i.Key); kind {
 		case archiver.KindProgress:
-			var p planner.Progress
-			if err = archiver.Decode(i.Value, &p); err == nil {
-				progress[descriptor.JobID(name)] = p
-				t.revisions[descriptor.JobID(name)] = i.Revision
-			}
+			progress[descriptor.JobID(name)] = i
+			t.revisions[descriptor.JobID(name)] = i.Revision
 		case archiver.KindAgent:
 			t.addAgent(ctx, i)
 		}
-		if err != nil {
-			t.leader.Log.Error("failed to decode document", "key", i.Key, "revision", i.Revision, "err", err)
-		}
 	}
 	now := time.Now()
-	for id, r := range records {
-		t.core.Load(r, progress[id], now)
+	for _, i := range items {
+		kind, name := archiver.ParseKey(i.Key)
+		if kind != archiver.KindJob {
+			continue
+		}
+		r, err := t.decodeRecord(descriptor.JobID(name), i)
+		var p planner.Progress
+		if stored, ok := progress[descriptor.JobID(name)]; ok && err == nil {
+			if p, err = decodeProgress(&r, stored); err != nil {
+				t.leader.setAsideDocument(stored, err)
+				continue
+			}
+		}
+		if err != nil {
+			t.leader.setAsideDocument(i, err)
+			continue
+		}
+		t.core.Load(r, p, now)
+		loaded++
 	}
-	t.leader.Log.Info("documents loaded", "jobs", len(records), "agents", len(t.links), "took", time.Since(t.startedAt))
+	t.leader.Log.Info("documents loaded", "jobs", loaded, "agents", len(t.links), "took", time.Since(t.startedAt))
 	return nil
 }
 
+// decodeRecord decodes and checks the record of a workload.
+func (t *term) decodeRecord(id descriptor.JobID, i archiver.Item) (planner.Record, error) {
+	var r planner.Record
+	if err := archiver.Decode(i.Value, &r); err != nil {
+		return r, err
+	}
+	if err := r.Check(id); err != nil {
+		return r, err
+	}
+	if t.leader.isSetAside(id, i.Revision) {
+		return r, errSetAside
+	}
+	t.recordRevisions[id] = i.Revision
+	return r, nil
+}
+
+// decodeProgress decodes the progress of the workload in a record, and checks that it fits to it.
+func decodeProgress(r *planner.Record, i archiver.Item) (planner.Progress, error) {
+	var p planner.Progress
+	if err := archiver.Decode(i.Value, &p); err != nil {
+		return p, err
+	}
+	return p, p.Check(&r.Workload)
+}
+
 // handleDocumentChange processes a change of a job or agent document that the mirror has reported. The removal of an
 // agent's document is ignored.
 func (t *term) handleDocumentChange(event archiver.Event) {
@@ -205,11 +248,23 @@
 			t.core.Forget(descriptor.JobID(name))
 			return
 		}
-		var r planner.Record
-		if err := archiver.Decode(event.Value, &r); err != nil {
-			t.leader.Log.Error("failed to decode document", "key", event.Key, "revision", event.Revision, "err", err)
+		r, err := t.decodeRecord(descriptor.JobID(name), event.Item)
+		if err != nil {
+			t.leader.setAsideDocument(event.Item, err)
 			return
 		}
+		if _, known := t.core.Progress(r.Workload.ID); !known {
+			if stored, ok := t.leader.Mirror.Get(archiver.ProgressKey(r.Workload.ID)); ok {
+				// The record was set aside when this term began, and has changed since.
+				p, err := decodeProgress(&r, stored)
+				if err != nil {
+					t.leader.setAsideDocument(stored, err)
+					return
+				}
+				t.revisions[r.Workload.ID] = stored.Revision
+				t.core.Load(r, p, time.Now())
+			}
+		}
 		t.core.Submit(r, time.Now())
 	case archiver.KindAgent:
 		if !event.Removed {
@@ -436,6 +491,7 @@
 		}
 		delete(t.endedSince, id)
 		delete(t.revisions, id)
+		delete(t.recordRevisions, id)
 		t.core.Forget(id)
 	}
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -25,6 +25,10 @@
 	levelOther
 )
 
+// maxOpenTasks bounds the tasks in the occurrences of one workload that are started before the first of them is done. It
+// is twice the largest occurrence, whose progress takes 0.3 MB of the 1 MB that a document may have.
+const maxOpenTasks = 2 * descriptor.MaxWorkloadTasks
+
 // group is the set of tasks of one step that are ready to start: a whole gang, or the waiting ones of independent tasks.
 type group struct {
 	job        *job
@@ -49,6 +53,7 @@
 	var orders []Order
 	c.activeJobs = slices.DeleteFunc(c.activeJobs, (*job).finished)
 	for _, j := range c.activeJobs {
+		c.currentJob = j.id()
 		orders = append(orders, c.stopUnwanted(j, now)...)
 	}
 	orders = append(orders, c.stopStalledAndSlow(now)...)
@@ -56,6 +61,7 @@
 	c.reserve.update(c.urgentDemand(), now)
 	p := c.newPass(now)
 	for _, g := range c.readyGroups(now, p.withinGuarantee) {
+		c.currentJob = g.job.id()
 		orders = append(orders, p.place(g)...)
 	}
 	return orders
@@ -114,6 +120,7 @@
 			continue
 		}
 		for _, r := range w.attempts {
+			c.currentJob = r.id.Task.Job
 			switch {
 			case r.stopping && now.Sub(r.stopOrderedAt) >= stopRetryInterval:
 				orders = append(orders, c.orderStop(r, now, "stop not confirmed; repeated")...)
@@ -238,7 +245,9 @@
 		if !j.nonfinal() {
 			continue
 		}
+		c.currentJob = j.id()
 		waiting := false
+		openTasks := 0
 		for k := range j.record.Workload.Occurrences() {
 			if o := j.occurrence(k); o != nil && o.Done {
 				continue
@@ -247,6 +256,10 @@
 				c.planBy(due.Add(dueMargin))
 				break
 			}
+			// Occurrences that overlap are bounded, because their tasks are all in memory and in one document.
+			if openTasks += j.taskCount(); openTasks > maxOpenTasks && k > 0 {
+				break
+			}
 			for s := range j.record.Workload.Steps {
 				if g, ok := c.readyGroup(j, k, s); ok {
 					g.level = level(j, withinGuarantee)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -88,6 +88,8 @@
 	reserve reserve
 	// nextPlanAt is the earliest time at which a plan may differ without a new event; zero means never.
 	nextPlanAt time.Time
+	// currentJob is the workload that is being processed. It names the one at fault when the planner panics.
+	currentJob descriptor.JobID
 }
 
 // job is a workload with its progress.
@@ -180,6 +182,7 @@
 // Load adds a workload that was read from the store. Its placed tasks count as running until a report of the worker, a
 // new incarnation of the worker or RemoveNode shows otherwise.
 func (c *Core) Load(r Record, p Progress, now time.Time) {
+	c.currentJob = r.Workload.ID
 	j := c.newJob(r, p, now)
 	for k, o := range p.Occurrences {
 		for s := range o.Steps {
@@ -251,6 +254,7 @@
 
 // Submit adds a workload or updates its cancellation. It is idempotent.
 func (c *Core) Submit(r Record, now time.Time) {
+	c.currentJob = r.Workload.ID
 	j := c.jobs[r.Workload.ID]
 	if j == nil {
 		j = c.newJob(r, Progress{}, now)
@@ -261,6 +265,9 @@
 	c.planNeeded = true
 }
 
+// CurrentJob returns the workload that the planner processes or processed last; empty if there was none.
+func (c *Core) CurrentJob() descriptor.JobID { return c.currentJob }
+
 // Forget removes a workload whose documents were deleted from the store, unless it still has attempts.
 func (c *Core) Forget(id descriptor.JobID) {
 	if j := c.jobs[id]; j != nil && len(j.activeAttempts) == 0 {
@@ -334,6 +341,22 @@
 func (j *job) task(id descriptor.TaskID) *Task { return &j.tasks(id.Occurrence, id.Step)[id.Index] }
 func (j *job) occurrence(k int) *Occurrence    { return j.progress.Occurrences[k] }
 
+// taskCount returns the number of tasks in one occurrence.
+func (j *job) taskCount() int {
+	n := 0
+	for i := range j.record.Workload.Steps {
+		n += j.record.Workload.Steps[i].Count
+	}
+	return n
+}
+
+// has reports whether the workload has a task. An id that a worker reports may name one that does not exist.
+func (j *job) has(id descriptor.TaskID) bool {
+	w := &j.record.Workload
+	return id.Occurrence >= 0 && id.Occurrence < w.Occurrences() && id.Step >= 0 && id.Step < len(w.Steps) &&
+		id.Index >= 0 && id.Index < w.Steps[id.Step].Count
+}
+
 // finished reports whether the workload is final and has no attempts left.
 func (j *job) finished() bool { return !j.nonfinal() && len(j.activeAttempts) == 0 }
 
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -1,6 +1,69 @@
 package planner
 
-import "persimmontrail/pkg/descriptor"
+import (
+	"errors"
+	"fmt"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// ErrDocument means that a document of a workload cannot be used, since it contradicts itself or its key.
+var ErrDocument = errors.New("invalid document")
+
+// Check returns an ErrDocument that names what is wrong with the record stored for a workload, or nil.
+func (r *Record) Check(id descriptor.JobID) error {
+	if r.Workload.ID != id {
+		return fmt.Errorf("%w: record of workload %q has the key of %q", ErrDocument, r.Workload.ID, id)
+	}
+	if err := r.Workload.Check(); err != nil {
+		return fmt.Errorf("%w: %w", ErrDocument, err)
+	}
+	return nil
+}
+
+// Check returns an ErrDocument that names what does not match the workload, or nil. It does not check whether the
+// workload itself is valid.
+func (p *Progress) Check(w *descriptor.Workload) error {
+	if p.State < JobQueued || p.State > JobCancelled {
+		return fmt.Errorf("%w: State is %d", ErrDocument, p.State)
+	}
+	for k, o := range p.Occurrences {
+		if k < 0 || k >= w.Occurrences() || o == nil {
+			return fmt.Errorf("%w: occurrence %d of %d", ErrDocument, k, w.Occurrences())
+		}
+		if o.Steps != nil && len(o.Steps) != len(w.Steps) {
+			return fmt.Errorf("%w: occurrence %d has %d steps, the workload %d", ErrDocument, k, len(o.Steps), len(w.Steps))
+		}
+		for s, tasks := range o.Steps {
+			if tasks != nil && len(tasks) != w.Steps[s].Count {
+				return fmt.Errorf("%w: step %d of occurrence %d has %d tasks, want %d", ErrDocument, s, k, len(tasks), w.Steps[s].Count)
+			}
+			for i := range tasks {
+				if err := tasks[i].check(); err != nil {
+					return fmt.Errorf("task %d.%d.%d: %w", k, s, i, err)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// maxAttempt is far above any number of attempts that a workload can need, and leaves room for further ones.
+const maxAttempt = 1 << 30
+
+func (t *Task) check() error {
+	switch {
+	case t.State < TaskPending || t.State > TaskDone:
+		return fmt.Errorf("%w: State is %d", ErrDocument, t.State)
+	case t.Attempt < 0 || t.Attempt > maxAttempt:
+		return fmt.Errorf("%w: Attempt is %d", ErrDocument, t.Attempt)
+	case t.FailedAttempts < 0 || t.FailedAttempts > maxAttempt:
+		return fmt.Errorf("%w: FailedAttempts is %d", ErrDocument, t.FailedAttempts)
+	case t.State == TaskPlaced && (t.Node == "" || t.Attempt == 0):
+		return fmt.Errorf("%w: placed on node %q in attempt %d", ErrDocument, t.Node, t.Attempt)
+	}
+	return nil
+}
 
 // Record is an accepted workload, with its cancellation if there was one.
 type Record struct {
@@ -69,9 +132,14 @@
 // Final reports whether the state cannot change any more.
 func (s JobState) Final() bool { return s >= JobDone }
 
+var jobStateNames = [...]string{"Queued", "Running", "Done", "Failed", "Cancelled"}
+
 // String returns the name used in logs and in the API.
 func (s JobState) String() string {
-	return [...]string{"Queued", "Running", "Done", "Failed", "Cancelled"}[s]
+	if s < 0 || int(s) >= len(jobStateNames) {
+		return fmt.Sprintf("JobState(%d)", int(s))
+	}
+	return jobStateNames[s]
 }
 
 // Progress is the part of a workload's state that is written to the store.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -103,12 +103,14 @@
 	for _, e := range o.Ended {
 		if e.Seq > w.recordedSeq {
 			w.recordedSeq = e.Seq
+			c.currentJob = e.Task.Job
 			c.handleEnd(w, e, o.Received)
 		}
 	}
 	listed := make(map[descriptor.AttemptID]bool, len(o.Running)+len(o.Ended))
 	for _, status := range o.Running {
 		listed[status.AttemptID] = true
+		c.currentJob = status.Task.Job
 		if r := w.attempts[status.AttemptID]; r != nil {
 			c.updateProgress(r, status, o.Clock, o.Received)
 			continue
@@ -185,7 +187,7 @@
 func (c *Core) stopStray(w *worker, status descriptor.AttemptStatus, now time.Time) []Order {
 	// The attempt occupies room until the worker reports its end.
 	r := &attempt{id: status.AttemptID, worker: w, incarnation: w.incarnation, started: now, confirmed: true, stopping: true, stopOrderedAt: now}
-	if j := c.jobs[status.Task.Job]; j != nil && status.Task.Step < len(j.record.Workload.Steps) {
+	if j := c.jobs[status.Task.Job]; j != nil && j.has(status.Task) {
 		r.need = j.step(status.Task.Step).Need()
 	}
 	w.attempts[status.AttemptID] = r
@@ -334,7 +336,7 @@
 	r := w.attempts[e.AttemptID]
 	delete(w.attempts, e.AttemptID)
 	j := c.jobs[e.Task.Job]
-	if j == nil || e.Task.Step >= len(j.record.Workload.Steps) || e.Task.Index >= j.step(e.Task.Step).Count {
+	if j == nil || !j.has(e.Task) {
 		return
 	}
 	t := j.task(e.Task)
--- a/pkg/descriptor/workload.go
+++ b/pkg/descriptor/workload.go
@@ -180,8 +180,16 @@
 // of a workload under the store's size limit for values.
 const MaxWorkloadTasks = 4096
 
-// Check returns an error that names the first invalid field, or nil. It checks ID, Steps and Times only; of a step, it
-// checks Count, Size and After.
+const (
+	// MaxOccurrences is the maximum number of occurrences of a workload. The document on its progress names each of them.
+	MaxOccurrences = 100_000
+	// maxSize bounds each part of a task's Size. It is far above the size of any worker, and sums over
+	// MaxWorkloadTasks tasks do not overflow.
+	maxSize = 1_000_000_000
+)
+
+// Check returns an error that names the first invalid field, or nil. It checks ID, Steps, Times and Interval only; of a
+// step, it checks Count, Size and After.
 func (w *Workload) Check() error {
 	if w.ID == "" {
 		return errors.New("field ID is empty")
@@ -198,19 +206,28 @@
 		if s.Size.Cores < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0 {
 			return fmt.Errorf("field Steps[%d].Size has a negative part", i)
 		}
+		if s.Size.Cores > maxSize || s.Size.Memory > maxSize || s.Size.Accelerators > maxSize {
+			return fmt.Errorf("field Steps[%d].Size has a part above %d", i, maxSize)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return fmt.Errorf("field Steps[%d].After names step %d, want an earlier one", i, a)
 			}
 		}
-		total += s.Count
-	}
-	if total > MaxWorkloadTasks {
-		return fmt.Errorf("field Steps has %d tasks, at most %d", total, MaxWorkloadTasks)
+		// Checked after each step, since the sum of absurd counts would overflow.
+		if total += s.Count; total > MaxWorkloadTasks {
+			return fmt.Errorf("field Steps has %d tasks, at most %d", total, MaxWorkloadTasks)
+		}
 	}
 	if w.Times < 0 {
 		return fmt.Errorf("field Times is %d, want at least 0", w.Times)
 	}
+	if w.Times > MaxOccurrences {
+		return fmt.Errorf("field Times is %d, at most %d", w.Times, MaxOccurrences)
+	}
+	if w.Interval < 0 {
+		return fmt.Errorf("field Interval is %v, want at least 0", w.Interval)
+	}
 	return nil
 }
 
--- a/pkg/descriptor/workload_test.go
+++ b/pkg/descriptor/workload_test.go
@@ -24,6 +24,10 @@
 		{"negative size", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: 1, Size: descriptor.Capacity{Cores: -1}}}}, "field Steps[0].Size has a negative part"},
 		{"too many tasks", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: descriptor.MaxWorkloadTasks + 1}}}, "field Steps has 4097 tasks, at most 4096"},
 		{"negative times", descriptor.Workload{ID: "j", Times: -1, Steps: []descriptor.Step{step}}, "field Times is -1, want at least 0"},
+		{"task counts that overflow", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: 1 << 62}, {Count: 1 << 62}}}, "field Steps has 4611686018427387904 tasks, at most 4096"},
+		{"absurd size", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: 1, Size: descriptor.Capacity{Memory: 1 << 60}}}}, "field Steps[0].Size has a part above 1000000000"},
+		{"too many times", descriptor.Workload{ID: "j", Times: 1 << 40, Steps: []descriptor.Step{step}}, "field Times is 1099511627776, at most 100000"},
+		{"negative interval", descriptor.Workload{ID: "j", Times: 2, Interval: -1, Steps: []descriptor.Step{step}}, "field Interval is -1ns, want at least 0"},
 		{"sound", descriptor.Workload{ID: "j", Steps: []descriptor.Step{step, {Count: 2, After: []int{0}}}}, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
