Takeovers and store outages: probe for the store's return, watch the leader key, overlapping renewals

A takeover waited for a lease of 1.6 s, a batch delay of 0.25 s and a pause of 0.15 s. Change: a mirror that lost the store sends a short read every 150 ms without waiting for the earlier ones, and then goes on watching where it stopped. Entries watch the leader key by itself; a campaign begins only when the store answers. Renewals overlap, so that a lost answer costs no time, and the lease is 1.2 s. Ruled out by trials: longer Retry-After (callers cap it at about a third of their time left, so 2 and 4 s change nothing).

--- a/cmd/persimmontrail-node/entry.go
+++ b/cmd/persimmontrail-node/entry.go
@@ -21,9 +21,11 @@
 	// times and the end of the leader's term fit into the platform's grace period of 6 s even on a slow VM.
 	shutdownTimeout = 2300 * time.Millisecond
 	// followerBatchDelay is the time for which an entry that does not lead collects changes before the next watch. The
-	// leader writes up to twenty times a second, and without the delay each write would cost the entry a store call. A
-	// takeover may begin later by the delay.
+	// leader writes up to twenty times a second, and without the delay each write would cost the entry a store call.
 	followerBatchDelay = 250 * time.Millisecond
+	// leaderKeyWatchTimeout is how long a watch of the leader key waits. The key rarely changes, and a connection that has
+	// gone silent only delays a takeover until the mirror of all documents shows the change.
+	leaderKeyWatchTimeout = 10 * time.Second
 	// announceRetryPause is the pause between two tries to write the process's address to the store.
 	announceRetryPause = 300 * time.Millisecond
 )
@@ -33,9 +35,10 @@
 	store := platform.NewStore(nodeSettings.StoreAddress, p.metrics)
 	plans := &admitter.PlanCache{Decode: platform.DecodePlan, Log: p.log}
 	documents := &archiver.Mirror{Store: store, Prefix: archiver.Prefix, Log: p.log}
+	leaderKey := &archiver.Mirror{Store: store, Prefix: archiver.LeaderKey, WatchTimeout: leaderKeyWatchTimeout, Log: p.log}
 	operatorKeys := &archiver.Mirror{Store: store, Prefix: platform.OperatorPrefix, WatchTimeout: admitter.PlanWatchTimeout, Log: p.log}
 	scheduler := &leader.Leader{
-		Node: nodeSettings.Node, Address: p.announcedAddress, Store: store, Mirror: documents,
+		Node: nodeSettings.Node, Address: p.announcedAddress, Store: store, Mirror: documents, KeyMirror: leaderKey,
 		Settings: func() leader.Settings {
 			plan, _ := plans.Current()
 			settings := leader.Settings{ExcludedDomains: platform.ExcludedDomains(operatorKeys)}
@@ -50,7 +53,7 @@
 		},
 		MaxHold: nodeSettings.MaxHold, EndedRetention: nodeSettings.EndedRetention + nodeSettings.EndedRetention/2, Log: p.log, Metrics: p.metrics,
 	}
-	documents.Changed = scheduler.DocumentChanged
+	documents.Changed, leaderKey.Changed = scheduler.DocumentChanged, scheduler.KeyChanged
 	documents.BatchDelay = func() time.Duration {
 		if scheduler.IsLeader() {
 			return 0
@@ -77,6 +80,7 @@
 	servingCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	go documents.Run(servingCtx)
+	go leaderKey.Run(schedulerCtx)
 	go operatorKeys.Run(servingCtx)
 	go admission.PollPeers(servingCtx)
 	go announce(servingCtx, p, store, archiver.EntryKey(nodeSettings.Node))
--- a/internal/archiver/mirror.go
+++ b/internal/archiver/mirror.go
@@ -17,10 +17,13 @@
 	defaultWatchTimeout = 1200 * time.Millisecond
 	// loadTimeout bounds the reading of all documents, which take tens of pages. A slow store takes 0.3 s per page.
 	loadTimeout = 4 * time.Second
-	// minRetryDelay is the delay after the first failed call. A few calls per second stay within the store's rate limits.
-	minRetryDelay = 100 * time.Millisecond
-	// maxRetryDelay is the upper limit of the delay, which doubles with each further failure.
-	maxRetryDelay = 250 * time.Millisecond
+	// probeInterval is the pause between two reads that test whether the store answers again. With two mirrors per
+	// process, a fleet of 300 processes makes 4,000 of the 16,000 reads per second that its store allows.
+	probeInterval = 150 * time.Millisecond
+	// probeTimeout bounds such a read. A slow store answers in 0.35 s.
+	probeTimeout = 700 * time.Millisecond
+	// minWatchTimeout is the shortest wait of a watch, the unit of the store.
+	minWatchTimeout = time.Millisecond
 )
 
 // Mirror keeps an in-memory copy of all keys with a prefix. It must not be copied after first use.
@@ -50,26 +53,65 @@
 	disconnected bool
 }
 
-// Run keeps the mirror up to date until ctx is done: it loads all keys and then watches for changes, and loads again
-// after a failed call.
+// Run keeps the mirror up to date until ctx is done: it loads all keys and then watches for changes. After a failed call
+// it waits until the store answers, and goes on watching where it stopped if the store still has the history.
 func (m *Mirror) Run(ctx context.Context) {
-	retryDelay := minRetryDelay
+	var after Revision
+	loaded := false
+	wait := m.watchTimeout()
 	for ctx.Err() == nil {
-		after, err := m.load(ctx)
-		for err == nil && ctx.Err() == nil {
-			retryDelay = minRetryDelay
-			after, err = m.watchOnce(ctx, after)
+		var err error
+		if loaded {
+			after, err = m.watchOnce(ctx, after, wait)
+		} else {
+			after, err = m.load(ctx)
+			loaded = err == nil
 		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, ErrCompacted) {
+		wait = m.watchTimeout()
+		switch {
+		case err == nil || ctx.Err() != nil:
+		case errors.Is(err, ErrCompacted):
 			m.Log.Info("watch history compacted by store, reloading all keys", "prefix", m.Prefix)
-			continue
+			loaded = false
+		default:
+			m.setDisconnected(err)
+			m.awaitStore(ctx)
+			// The first watch returns at once, to confirm what the mirror holds.
+			wait = minWatchTimeout
 		}
-		m.setDisconnected(err)
-		sleep(ctx, retryDelay)
-		retryDelay = min(2*retryDelay, maxRetryDelay)
+	}
+}
+
+func (m *Mirror) watchTimeout() time.Duration { return cmp.Or(m.WatchTimeout, defaultWatchTimeout) }
+
+// awaitStore waits until the store answers a read, or ctx is done. It sends a read every probeInterval without waiting
+// for the earlier ones: after an outage in which the store was silent, those may hang although the store is back.
+func (m *Mirror) awaitStore(ctx context.Context) {
+	probeCtx, cancel := context.WithCancel(ctx)
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	defer cancel()
+	answered := make(chan struct{}, 1)
+	t := time.NewTicker(probeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-answered:
+			return
+		case <-t.C:
+		}
+		probes.Go(func() {
+			callCtx, cancelCall := context.WithTimeout(probeCtx, probeTimeout)
+			defer cancelCall()
+			if _, err := m.Store.Get(callCtx, m.Prefix); err == nil || errors.Is(err, ErrNotFound) {
+				select {
+				case answered <- struct{}{}:
+				default:
+				}
+			}
+		})
 	}
 }
 
@@ -97,10 +139,10 @@
 	return revision, nil
 }
 
-// watchOnce waits for changes after a revision and applies them. It returns the revision to continue from.
-func (m *Mirror) watchOnce(ctx context.Context, after Revision) (Revision, error) {
+// watchOnce waits for changes after a revision, up to wait, and applies them. It returns the revision to continue from.
+func (m *Mirror) watchOnce(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
 	sentAt := time.Now()
-	events, current, err := m.Store.Watch(ctx, m.Prefix, after, cmp.Or(m.WatchTimeout, defaultWatchTimeout))
+	events, current, err := m.Store.Watch(ctx, m.Prefix, after, wait)
 	if err != nil {
 		return after, err
 	}
--- a/internal/archiver/mirror_test.go
+++ b/internal/archiver/mirror_test.go
@@ -18,6 +18,7 @@
 // fakeStore returns an empty store on which no watch sees a change. Tests replace some of its functions.
 func fakeStore() *archiver.Store {
 	return &archiver.Store{
+		Get: func(context.Context, string) (archiver.Item, error) { return archiver.Item{}, archiver.ErrNotFound },
 		Range: func(context.Context, string, string) ([]archiver.Item, bool, archiver.Revision, error) {
 			return nil, false, 1, nil
 		},
@@ -185,3 +186,56 @@
 		assert.Assert(t, !ok)
 	})
 }
+
+// TestMirrorFindsStoreSoonAfterSilence guards against a mirror that learns of the end of an outage late: a call that was
+// sent during the outage hangs until its timeout, also when the store is long back. Until the mirror knows, submissions
+// are refused. The watch goes on where it ended, since reading all documents again would load the store that has just
+// come back.
+func TestMirrorFindsStoreSoonAfterSilence(t *testing.T) {
+	for _, outageEnd := range []time.Duration{5 * time.Second, 5300 * time.Millisecond, 5950 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			silent := func(ctx context.Context) bool {
+				if since := time.Since(start); since < 2*time.Second || since >= outageEnd {
+					return false
+				}
+				<-ctx.Done()
+				return true
+			}
+			s := fakeStore()
+			var readCalls atomic.Int32
+			s.Range = func(context.Context, string, string) ([]archiver.Item, bool, archiver.Revision, error) {
+				readCalls.Add(1)
+				return nil, false, 7, nil
+			}
+			watch := s.Watch
+			s.Watch = func(ctx context.Context, p string, after archiver.Revision, wait time.Duration) ([]archiver.Event, archiver.Revision, error) {
+				ctx, cancel := context.WithTimeout(ctx, wait+700*time.Millisecond)
+				defer cancel()
+				if silent(ctx) {
+					return nil, 0, archiver.ErrUnavailable
+				}
+				if time.Since(start) > outageEnd && after < 9 {
+					return []archiver.Event{{Item: archiver.Item{Key: "a", Revision: 9}}}, 9, nil
+				}
+				return watch(ctx, p, after, wait)
+			}
+			s.Get = func(ctx context.Context, _ string) (archiver.Item, error) {
+				if silent(ctx) {
+					return archiver.Item{}, archiver.ErrUnavailable
+				}
+				return archiver.Item{}, archiver.ErrNotFound
+			}
+			m := &archiver.Mirror{Store: s, Log: log.New(io.Discard)}
+			startMirror(t, m)
+			time.Sleep(outageEnd - time.Millisecond)
+			assert.Assert(t, m.Disconnected())
+			time.Sleep(201 * time.Millisecond)
+			assert.Assert(t, !m.Disconnected())
+			assert.Assert(t, time.Since(m.Confirmed()) <= 200*time.Millisecond)
+			_, ok := m.Get("a")
+			assert.Assert(t, ok)
+			assert.Equal(t, readCalls.Load(), int32(1))
+		})
+	}
+}
--- a/internal/leader/containment_test.go
+++ b/internal/leader/containment_test.go
@@ -162,7 +162,7 @@
 	now := time.Hour
 	leaderTerm.leader.BootTime = func() time.Duration { return now }
 	l := &link{term: leaderTerm, node: "n", address: "127.0.0.1:1"}
-	leaderTerm.setLeaseEnd(now + leaderLeaseTTL)
+	leaderTerm.extendLease(now + leaderLeaseTTL)
 	_, err := l.call(t.Context(), agent.SyncRequest{Fence: leaderTerm.fence}, time.Second)
 	assert.Assert(t, err != nil && !errors.Is(err, errLeaseExpired), "before the lease ends the call is sent: %v", err)
 	now += leaderLeaseTTL
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,6 +21,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -33,12 +34,12 @@
 )
 
 const (
-	// leaderLeaseTTL is how long a failed leader blocks the election of the next one. It covers several renewals that
-	// take 0.3 s each on a slow store.
-	leaderLeaseTTL = 1600 * time.Millisecond
-	// renewInterval is the pause between two renewals of the lease. The lease outlasts three failed renewals in a row, if
-	// each fails without delay.
-	renewInterval = 350 * time.Millisecond
+	// leaderLeaseTTL is how long a failed leader blocks the election of the next one. The platform allows leases from 1 s.
+	// On a slow store, which answers in 0.35 s, it covers three lost renewals in a row.
+	leaderLeaseTTL = 1200 * time.Millisecond
+	// renewInterval is the pause between the sending of two renewals. A renewal does not wait for the answer to the one
+	// before, so that a lost answer costs no time.
+	renewInterval = 200 * time.Millisecond
 	// storeTimeout bounds a store call of the leader. A campaign may take twice as long, and one try to read all
 	// documents three times as long.
 	storeTimeout = 700 * time.Millisecond
@@ -62,6 +63,9 @@
 	Store   *archiver.Store
 	// Mirror holds a copy of the stored documents; its owner passes the mirror's changes to DocumentChanged.
 	Mirror *archiver.Mirror
+	// KeyMirror holds a copy of the leader key alone, which shows its removal without the delay by which Mirror collects
+	// changes; its owner calls KeyChanged after each change. It is nil if there is none.
+	KeyMirror *archiver.Mirror
 	// Settings returns the operators' current settings.
 	Settings func() Settings
 	Limits   planner.Limits
@@ -81,6 +85,8 @@
 	// setAside holds the workloads that made this process's planner panic, with the revision of their record then. They
 	// are left out until the record changes.
 	setAside map[descriptor.JobID]archiver.Revision
+	// keyChanged holds a value after KeyChanged was called; nil until it is first needed.
+	keyChanged chan struct{}
 	// panicCount is the number of terms in a row that a panic has ended.
 	panicCount int
 }
@@ -120,11 +126,29 @@
 	return ld.term != nil
 }
 
+// KeyChanged makes Run look at the leader key again without delay.
+func (ld *Leader) KeyChanged(archiver.Event) {
+	select {
+	case ld.keyChangedChannel() <- struct{}{}:
+	default:
+	}
+}
+
+func (ld *Leader) keyChangedChannel() chan struct{} {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if ld.keyChanged == nil {
+		ld.keyChanged = make(chan struct{}, 1)
+	}
+	return ld.keyChanged
+}
+
 // Run campaigns for leadership and leads until ctx is done. Before it returns, it tries to revoke its lease.
 func (ld *Leader) Run(ctx context.Context) {
+	keyChanged := ld.keyChangedChannel()
 	for ctx.Err() == nil {
-		if ld.Mirror.Confirmed().IsZero() || ld.leaderKeyExists() {
-			sleep(ctx, retryPause)
+		if !ld.mayCampaign() {
+			sleepUntil(ctx, retryPause, keyChanged)
 			continue
 		}
 		lease, fence, requestedAt, err := ld.campaign(ctx)
@@ -143,9 +167,21 @@
 	}
 }
 
-func (ld *Leader) leaderKeyExists() bool {
-	_, ok := ld.Mirror.Get(archiver.LeaderKey)
-	return ok
+// mayCampaign reports whether the leader key may be free. While the store does not answer, a campaign would only hang:
+// its first call could still wait for its timeout when the store is back.
+func (ld *Leader) mayCampaign() bool {
+	if ld.Mirror.Confirmed().IsZero() || ld.Mirror.Disconnected() {
+		return false
+	}
+	for _, m := range []*archiver.Mirror{ld.Mirror, ld.KeyMirror} {
+		if m == nil || m.Confirmed().IsZero() {
+			continue
+		}
+		if _, ok := m.Get(archiver.LeaderKey); !ok {
+			return true
+		}
+	}
+	return false
 }
 
 // campaign tries to create the leader key. It returns the lease of the key, the fence of the term, which is the key's
@@ -154,7 +190,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
 	readAt := time.Now()
-	if _, err := ld.Store.Get(callCtx, archiver.LeaderKey); !errors.Is(err, archiver.ErrNotFound) {
+	readCtx, cancelRead := context.WithTimeout(ctx, storeTimeout)
+	_, err := ld.Store.Get(readCtx, archiver.LeaderKey)
+	cancelRead()
+	if !errors.Is(err, archiver.ErrNotFound) {
 		return 0, 0, readAt, errors.Join(errors.New("leader key exists or could not be read"), err)
 	}
 	sleep(ctx, campaignDelayRoundTrips*time.Since(readAt))
@@ -196,10 +235,10 @@
 	termCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t := newTerm(ld, fence)
-	t.setLeaseEnd(ld.bootTime() - time.Since(requestedAt) + leaderLeaseTTL)
+	t.extendLease(ld.bootTime() - time.Since(requestedAt) + leaderLeaseTTL)
 	ld.setTerm(t)
 	var wg sync.WaitGroup
-	wg.Go(func() { ld.renew(termCtx, cancel, lease, requestedAt, t) })
+	wg.Go(func() { ld.renew(termCtx, cancel, lease, t) })
 	termErr := t.runContained(termCtx)
 	cancel(termErr)
 	ld.setTerm(nil)
@@ -229,37 +268,51 @@
 
 var errLeaseExpired = errors.New("leader lease not renewed in time")
 
-// renew renews the lease periodically and cancels the term before the lease can expire.
-func (ld *Leader) renew(ctx context.Context, cancel context.CancelCauseFunc, lease archiver.LeaseID, requestedAt time.Time, t *term) {
-	validUntil := requestedAt.Add(leaderLeaseTTL)
-	for ctx.Err() == nil {
-		sleep(ctx, renewInterval)
-		sentAt, sentAtBoot := time.Now(), ld.bootTime()
-		callCtx, cancelCall := context.WithDeadline(ctx, earlier(sentAt.Add(storeTimeout), validUntil))
-		err := ld.Store.Renew(callCtx, lease)
-		cancelCall()
-		switch {
-		case err == nil:
-			validUntil = sentAt.Add(leaderLeaseTTL)
-			t.setLeaseEnd(sentAtBoot + leaderLeaseTTL)
-		case errors.Is(err, archiver.ErrLeaseLost):
-			cancel(err)
+// renew renews the lease every renewInterval and cancels the term before the lease can expire. Renewals overlap if the
+// store is slow.
+func (ld *Leader) renew(ctx context.Context, cancel context.CancelCauseFunc, lease archiver.LeaseID, t *term) {
+	var renewals sync.WaitGroup
+	defer renewals.Wait()
+	var failing atomic.Bool
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
 			return
-		case ctx.Err() == nil:
-			ld.Log.Warn("failed to renew leader lease", "err", err, "left", time.Until(validUntil))
+		case <-ticker.C:
 		}
-		if time.Now().After(validUntil) || t.leaseExpired() {
+		if t.leaseExpired() {
 			cancel(errLeaseExpired)
 			return
 		}
+		sentAt := ld.bootTime()
+		renewals.Go(func() {
+			callCtx, cancelCall := context.WithTimeout(ctx, storeTimeout)
+			defer cancelCall()
+			err := ld.Store.Renew(callCtx, lease)
+			switch {
+			case err == nil:
+				failing.Store(false)
+				t.extendLease(sentAt + leaderLeaseTTL)
+			case errors.Is(err, archiver.ErrLeaseLost):
+				cancel(err)
+			case ctx.Err() == nil && !failing.Swap(true):
+				ld.Log.Warn("failed to renew leader lease", "err", err, "left", t.leaseLeft())
+			}
+		})
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// sleepUntil waits for d, until ctx is done or until it receives from wake.
+func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	case <-wake:
 	}
-	return b
 }
 
 // sleep waits for d or until ctx is done.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -169,8 +169,10 @@
 
 func newLeader(m *memoryStore, node string) *Leader {
 	discard := log.New(io.Discard)
+	start := time.Now()
 	ld := &Leader{
-		Node: node, Store: m.store(), Log: discard, Metrics: &recorder.Metrics{}, MaxHold: 10 * time.Second, EndedRetention: time.Minute,
+		BootTime: func() time.Duration { return time.Since(start) },
+		Node:     node, Store: m.store(), Log: discard, Metrics: &recorder.Metrics{}, MaxHold: 10 * time.Second, EndedRetention: time.Minute,
 		Settings: func() Settings { return Settings{} },
 		Limits:   planner.Limits{DistanceFactor: 3},
 	}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -126,15 +126,24 @@
 	}
 }
 
-// setLeaseEnd records the boot time at which the lease may expire.
-func (t *term) setLeaseEnd(end time.Duration) { t.leaseEnd.Store(int64(end)) }
+// extendLease records that the lease lasts until the given boot time, unless it is known to last longer.
+func (t *term) extendLease(end time.Duration) {
+	for {
+		old := t.leaseEnd.Load()
+		if old >= int64(end) || t.leaseEnd.CompareAndSwap(old, int64(end)) {
+			return
+		}
+	}
+}
 
-// leaseExpired reports whether the lease may have expired.
-func (t *term) leaseExpired() bool {
-	end := t.leaseEnd.Load()
-	return end != 0 && t.leader.bootTime() >= time.Duration(end)
+// leaseLeft returns the time until the lease may expire; it is below 0 after that.
+func (t *term) leaseLeft() time.Duration {
+	return time.Duration(t.leaseEnd.Load()) - t.leader.bootTime()
 }
 
+// leaseExpired reports whether the lease may have expired.
+func (t *term) leaseExpired() bool { return t.leaseEnd.Load() != 0 && t.leaseLeft() <= 0 }
+
 // minRoundDelay returns how long the next round is delayed: not at all if anything but progress has changed, else for
 // the rest of progressRoundInterval, or until the next plan is due if that is earlier.
 func (t *term) minRoundDelay() time.Duration {
