--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +28,8 @@
 	progressRoundInterval = 120 * time.Millisecond
 	// maxClockSlowdown is the largest factor by which a worker's clock may be slower than true time.
 	maxClockSlowdown = 1.03
+	// discardLogInterval is the pause between two log lines on discarded work.
+	discardLogInterval = 10 * time.Second
 	// sweepInterval is the pause between two searches for ended workloads to remove.
 	sweepInterval = 5 * time.Second
 )
@@ -52,6 +57,9 @@
 	startedAt   time.Time
 	lastSweep   time.Time
 	lastRound   time.Time
+	// discarded holds the core-seconds of work lost in this term, by cause; discardLogAt is when they were last logged.
+	discarded    map[string]float64
+	discardLogAt time.Time
 	// pendingStops are stop orders that follow from reports; the next round sends them.
 	pendingStops []planner.Order
 	// linkCtx is the context of run, kept for links that are opened later and for calls with orders.
@@ -68,7 +76,11 @@
 	t := &term{
 		leader: ld, fence: fence, core: planner.New(ld.Limits), links: map[string]*link{},
 		revisions: map[descriptor.JobID]archiver.Revision{}, recordRevisions: map[descriptor.JobID]archiver.Revision{}, endedSince: map[descriptor.JobID]time.Time{},
-		wakeup: make(chan struct{}, 1), startedAt: time.Now(),
+		wakeup: make(chan struct{}, 1), startedAt: time.Now(), discarded: map[string]float64{}, discardLogAt: time.Now(),
+	}
+	t.core.Discarded = func(cause string, coreSeconds float64) {
+		t.discarded[cause] += coreSeconds
+		ld.Metrics.Add("discarded_core_seconds_total", coreSeconds, "cause", cause)
 	}
 	t.core.LogEvent = func(message string, job descriptor.JobID, details ...any) {
 		ld.Log.Info(message, append([]any{"job", job, "fence", fence}, details...)...)
@@ -305,6 +317,7 @@
 	}
 	t.sendOrders(orders, time.Now())
 	t.removeEnded(ctx, start)
+	t.logDiscarded(start)
 	return nil
 }
 
@@ -449,6 +462,19 @@
 	return nil
 }
 
+// logDiscarded logs what work was lost in this term, at most once per discardLogInterval.
+func (t *term) logDiscarded(now time.Time) {
+	if len(t.discarded) == 0 || now.Sub(t.discardLogAt) < discardLogInterval {
+		return
+	}
+	t.discardLogAt = now
+	details := []any{"fence", t.fence}
+	for _, cause := range slices.Sorted(maps.Keys(t.discarded)) {
+		details = append(details, cause, math.Round(t.discarded[cause]))
+	}
+	t.leader.Log.Info("work discarded in this term, core-seconds", details...)
+}
+
 // removeExpiredNodes gives up the attempts on workers whose hold deadline has certainly passed.
 func (t *term) removeExpiredNodes(now time.Time) {
 	for _, node := range t.core.NodesWithAttempts() {
--- /dev/null
+++ b/internal/planner/discard.go
@@ -0,0 +1,54 @@
+package planner
+
+import (
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// discardCause says why an attempt ended without success. It is a label of the metric of discarded work.
+type discardCause string
+
+const (
+	causeEnded      discardCause = "WorkloadEnded"
+	causeGang       discardCause = "GangIncomplete"
+	causeStalled    discardCause = "Stalled"
+	causeSlow       discardCause = "Slow"
+	causeDraining   discardCause = "Draining"
+	causePreempted  discardCause = "Preempted"
+	causeWorkerLost discardCause = "WorkerLost"
+	causeFailed     discardCause = "Failed"
+	causeHold       discardCause = "HoldExpired"
+	causeGangEnded  discardCause = "GangMemberEnded"
+	causeGangAlone  discardCause = "GangTimeout"
+)
+
+// causeOfOutcome holds the cause for the outcomes of attempts that no stop was ordered for.
+var causeOfOutcome = map[descriptor.Outcome]discardCause{
+	descriptor.OutcomeFailed: causeFailed, descriptor.OutcomeStopped: causeWorkerLost, descriptor.OutcomeLeaseExpired: causeHold,
+	descriptor.OutcomeGangEnded: causeGangEnded, descriptor.OutcomeGangTimeout: causeGangAlone,
+}
+
+// unsavedTime estimates the work time since the last checkpoint, which is lost when the attempt ends now. Without
+// checkpoints that is the whole time since the start.
+func (r *attempt) unsavedTime(checkpointInterval time.Duration, now time.Time) time.Duration {
+	if !r.confirmed {
+		return 0
+	}
+	lost := now.Sub(r.started)
+	if r.job.step(r.id.Task.Step).SavesProgress {
+		lost = min(lost, checkpointInterval)
+	}
+	return lost
+}
+
+// noteDiscarded reports the work that an attempt loses. An ordered stop goes before the cause given.
+func (c *Core) noteDiscarded(r *attempt, cause discardCause, now time.Time) {
+	if c.Discarded == nil || r.job == nil {
+		return
+	}
+	if r.stopCause != "" {
+		cause = r.stopCause
+	}
+	c.Discarded(string(cause), r.need.CoreSeconds(r.unsavedTime(c.Limits.CheckpointInterval, now)))
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -76,11 +76,11 @@
 	var orders []Order
 	for id, r := range j.activeAttempts {
 		if !j.nonfinal() {
-			orders = append(orders, c.orderStop(r, now, "workload has ended: "+j.progress.State.String())...)
+			orders = append(orders, c.orderStop(r, now, causeEnded, "workload has ended: "+j.progress.State.String())...)
 			continue
 		}
 		if j.step(id.Step).Gang && c.gangIncomplete(j, r) {
-			orders = append(orders, c.orderStop(r, now, "another gang member has ended or was lost")...)
+			orders = append(orders, c.orderStop(r, now, causeGang, "another gang member has ended or was lost")...)
 		}
 	}
 	slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Attempt.Task.String(), b.Attempt.Task.String()) })
@@ -100,11 +100,14 @@
 }
 
 // orderStop returns an order to stop an attempt, at most once per stopRetryInterval.
-func (c *Core) orderStop(r *attempt, now time.Time, reason string) []Order {
+func (c *Core) orderStop(r *attempt, now time.Time, cause discardCause, reason string) []Order {
 	if r.stopping && now.Sub(r.stopOrderedAt) < stopRetryInterval {
 		c.planBy(r.stopOrderedAt.Add(stopRetryInterval))
 		return nil
 	}
+	if !r.stopping {
+		r.stopCause = cause
+	}
 	r.stopping, r.stopOrderedAt = true, now
 	c.planBy(now.Add(stopRetryInterval))
 	return []Order{{Node: r.worker.node, Incarnation: r.worker.incarnation, Attempt: r.id, Stop: true, Reason: reason}}
@@ -123,13 +126,13 @@
 			c.currentJob = r.id.Task.Job
 			switch {
 			case r.stopping && now.Sub(r.stopOrderedAt) >= stopRetryInterval:
-				orders = append(orders, c.orderStop(r, now, "stop not confirmed; repeated")...)
+				orders = append(orders, c.orderStop(r, now, r.stopCause, "stop not confirmed; repeated")...)
 			case c.stalled(r):
-				orders = append(orders, c.orderStop(r, now, fmt.Sprintf("no progress for %v at %d percent",
+				orders = append(orders, c.orderStop(r, now, causeStalled, fmt.Sprintf("no progress for %v at %d percent",
 					r.timeWithoutProgress().Round(time.Millisecond), r.percent))...)
 				c.quarantineWorker(w, now, "task makes no progress")
 			case c.tooSlow(r):
-				orders = append(orders, c.orderStop(r, now, fmt.Sprintf("slow: %d percent after %v, expected run time %v",
+				orders = append(orders, c.orderStop(r, now, causeSlow, fmt.Sprintf("slow: %d percent after %v, expected run time %v",
 					r.percent, now.Sub(r.started).Round(time.Millisecond),
 					c.expectedRunTime(r.job, r.id.Task.Step).Round(time.Millisecond)))...)
 				w.suspectUntil = now.Add(suspectPeriod)
@@ -231,7 +234,7 @@
 			if r.stopping || r.job == nil || c.remainingRunTime(r, now) < left {
 				continue
 			}
-			orders = append(orders, c.orderStop(r, now, fmt.Sprintf("draining worker leaves in %v", left.Round(time.Millisecond)))...)
+			orders = append(orders, c.orderStop(r, now, causeDraining, fmt.Sprintf("draining worker leaves in %v", left.Round(time.Millisecond)))...)
 		}
 	}
 	return orders
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -68,6 +68,9 @@
 	// LogEvent is called, for logging, when an attempt ends or is removed, a workload becomes final or a worker is
 	// quarantined; it may be nil.
 	LogEvent func(message string, job descriptor.JobID, details ...any)
+	// Discarded is called with the core-seconds of unsaved work that an attempt loses as it ends, and the cause; it may be
+	// nil.
+	Discarded func(cause string, coreSeconds float64)
 
 	jobs map[descriptor.JobID]*job
 	// activeJobs holds the workloads that were not finished at the last plan or were added since, sorted by id.
@@ -143,6 +146,8 @@
 	lastListed descriptor.WorkerClock
 	// stopping is true once a stop was ordered.
 	stopping bool
+	// stopCause is why the first stop was ordered; empty if none was.
+	stopCause discardCause
 	// stopOrderedAt is when a stop was last ordered.
 	stopOrderedAt time.Time
 	// stopAnswered is the worker clock at which the worker answered a stop; after it, a delayed start of the attempt
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -157,12 +157,9 @@
 		}
 	}
 	for _, m := range u.attempts {
-		lostTime := p.now.Sub(m.started)
-		if !m.confirmed {
-			lostTime = 0
-		}
+		lostTime := m.unsavedTime(p.core.Limits.CheckpointInterval, p.now)
 		if m.job.step(m.id.Task.Step).SavesProgress {
-			lostTime = min(lostTime, p.core.Limits.CheckpointInterval) + p.core.Limits.RestoreTime
+			lostTime += p.core.Limits.RestoreTime
 		}
 		u.waste += m.need.CoreSeconds(lostTime)
 	}
@@ -214,7 +211,7 @@
 	var orders []Order
 	for _, u := range units {
 		for _, r := range u.attempts {
-			orders = append(orders, p.core.orderStop(r, p.now, fmt.Sprintf("preempted by %s at level %d, cost %.1f core-seconds",
+			orders = append(orders, p.core.orderStop(r, p.now, causePreempted, fmt.Sprintf("preempted by %s at level %d, cost %.1f core-seconds",
 				g.job.id(), g.level, cost))...)
 			if _, ok := p.releasing[r.worker]; ok {
 				p.releasing[r.worker] = p.releasing[r.worker].Plus(r.need)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -144,7 +144,7 @@
 		r.percent, r.lastListed = 0, 0
 		if ordered {
 			r.startDeadline = noStartDeadline
-			orders = append(orders, c.orderStop(r, o.Received, "worker has a new incarnation")...)
+			orders = append(orders, c.orderStop(r, o.Received, causeWorkerLost, "worker has a new incarnation")...)
 		}
 	}
 	return orders
@@ -161,7 +161,7 @@
 	case r.confirmed && o.Clock > r.lastListed:
 		// A worker lists an attempt until its end is acknowledged, so the report that confirmed this attempt must have
 		// come from another incarnation.
-		return c.orderStop(r, o.Received, "listed neither as running nor as ended")
+		return c.orderStop(r, o.Received, causeWorkerLost, "listed neither as running nor as ended")
 	}
 	return nil
 }
@@ -269,6 +269,7 @@
 	delete(r.job.activeAttempts, r.id.Task)
 	t := r.job.task(r.id.Task)
 	if t.State == TaskPlaced && t.Attempt == r.id.Attempt {
+		c.noteDiscarded(r, causeWorkerLost, now)
 		t.State = TaskPending
 		if r.checkpoint != "" {
 			t.Checkpoint = r.checkpoint
@@ -345,6 +346,9 @@
 	}
 	c.logEvent("attempt ended", j.id(), "task", e.Task, "run", e.Attempt, "node", w.node, "outcome", e.Outcome,
 		"fails", t.FailedAttempts, "percent", lastPercent(r))
+	if r != nil && e.Outcome != descriptor.OutcomeDone {
+		c.noteDiscarded(r, causeOfOutcome[e.Outcome], now)
+	}
 	if j.activeAttempts[e.Task] == r {
 		delete(j.activeAttempts, e.Task)
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -39,6 +39,11 @@
 	m.metricSet().GetOrCreateCounter("persimmontrail_" + name + formatLabels(labels)).Inc()
 }
 
+// Add adds a value, which must not be negative, to a counter of fractions.
+func (m *Metrics) Add(name string, value float64, labels ...string) {
+	m.metricSet().GetOrCreateFloatCounter("persimmontrail_" + name + formatLabels(labels)).Add(value)
+}
+
 // RegisterGauge registers a gauge. Write calls value to read it. If the gauge is already registered, it keeps its
 // earlier function.
 func (m *Metrics) RegisterGauge(name string, value func() float64, labels ...string) {
