--- a/internal/planner/discard.go
+++ b/internal/planner/discard.go
@@ -29,6 +29,35 @@
 	descriptor.OutcomeGangEnded: causeGangEnded, descriptor.OutcomeGangTimeout: causeGangAlone,
 }
 
+// gangRun identifies one attempt of a gang as a whole.
+type gangRun struct {
+	occurrence, step, attempt int
+}
+
+func (r *attempt) gangRun() gangRun { return gangRun{r.id.Task.Occurrence, r.id.Task.Step, r.id.Attempt} }
+
+// noteGangEnd records why a gang ended, unless it is known already. cause is that of r, its first member to end.
+func (r *attempt) noteGangEnd(cause discardCause) {
+	if r.job == nil || !r.job.step(r.id.Task.Step).Gang {
+		return
+	}
+	if _, ok := r.job.gangEnds[r.gangRun()]; ok {
+		return
+	}
+	if r.job.gangEnds == nil {
+		r.job.gangEnds = map[gangRun]discardCause{}
+	}
+	r.job.gangEnds[r.gangRun()] = cause
+}
+
+// gangCause returns the cause for stopping a member of a gang that is incomplete: that of the first member to end.
+func (r *attempt) gangCause() discardCause {
+	if cause, ok := r.job.gangEnds[r.gangRun()]; ok && cause != causeGang {
+		return causeGang + discardCause("After") + cause
+	}
+	return causeGang
+}
+
 // unsavedTime estimates the work time since the last checkpoint, which is lost when the attempt ends now. Without
 // checkpoints that is the whole time since the start.
 func (r *attempt) unsavedTime(checkpointInterval time.Duration, now time.Time) time.Duration {
@@ -44,11 +73,12 @@
 
 // noteDiscarded reports the work that an attempt loses. An ordered stop goes before the cause given.
 func (c *Core) noteDiscarded(r *attempt, cause discardCause, now time.Time) {
-	if c.Discarded == nil || r.job == nil {
-		return
-	}
 	if r.stopCause != "" {
 		cause = r.stopCause
 	}
+	r.noteGangEnd(cause)
+	if c.Discarded == nil || r.job == nil {
+		return
+	}
 	c.Discarded(string(cause), r.need.CoreSeconds(r.unsavedTime(c.Limits.CheckpointInterval, now)))
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		if j.step(id.Step).Gang && c.gangIncomplete(j, r) {
-			orders = append(orders, c.orderStop(r, now, causeGang, "another gang member has ended or was lost")...)
+			orders = append(orders, c.orderStop(r, now, r.gangCause(), "another gang member has ended or was lost")...)
 		}
 	}
 	slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Attempt.Task.String(), b.Attempt.Task.String()) })
@@ -107,6 +107,7 @@
 	}
 	if !r.stopping {
 		r.stopCause = cause
+		r.noteGangEnd(cause)
 	}
 	r.stopping, r.stopOrderedAt = true, now
 	c.planBy(now.Add(stopRetryInterval))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -109,6 +109,8 @@
 	sampledSteps map[int]bool
 	// stepRunTimes holds, by step, the run times projected from the progress of its tasks.
 	stepRunTimes map[int]*observedRunTimes
+	// gangEnds says why gangs of the workload ended that did not succeed.
+	gangEnds map[gangRun]discardCause
 	// claim is the room freed for the workload by preemption; nil when there is none.
 	claim *claim
 	// preemptAfter is the earliest time for the next search for attempts that a gang of the workload may preempt.
