--- a/internal/planner/discard.go
+++ b/internal/planner/discard.go
@@ -34,7 +34,9 @@
 	occurrence, step, attempt int
 }
 
-func (r *attempt) gangRun() gangRun { return gangRun{r.id.Task.Occurrence, r.id.Task.Step, r.id.Attempt} }
+func (r *attempt) gangRun() gangRun {
+	return gangRun{r.id.Task.Occurrence, r.id.Task.Step, r.id.Attempt}
+}
 
 // noteGangEnd records why a gang ended, unless it is known already. cause is that of r, its first member to end.
 func (r *attempt) noteGangEnd(cause discardCause) {
