planner: a stop of work that saves its progress costs only the restore

The platform's workers save a checkpoint at a stop. Victims were weighed with a whole checkpoint interval.

--- a/internal/planner/discard.go
+++ b/internal/planner/discard.go
@@ -60,8 +60,8 @@
 	return causeGang
 }
 
-// unsavedTime estimates the work time since the last checkpoint, which is lost when the attempt ends now. Without
-// checkpoints that is the whole time since the start.
+// unsavedTime estimates the work time that is lost when the attempt ends now without a checkpoint of its own: the time
+// since the last checkpoint, or without checkpoints since the start.
 func (r *attempt) unsavedTime(checkpointInterval time.Duration, now time.Time) time.Duration {
 	if !r.confirmed {
 		return 0
@@ -73,6 +73,18 @@
 	return lost
 }
 
+// timeLostByStop estimates the time that stopping the attempt costs. A stop saves a checkpoint if the step saves its
+// progress, so that only the restore is lost.
+func (r *attempt) timeLostByStop(restoreTime time.Duration, now time.Time) time.Duration {
+	switch {
+	case !r.confirmed:
+		return 0
+	case r.job.step(r.id.Task.Step).SavesProgress:
+		return restoreTime
+	}
+	return now.Sub(r.started)
+}
+
 // noteDiscarded reports the work that an attempt loses. An ordered stop goes before the cause given.
 func (c *Core) noteDiscarded(r *attempt, cause discardCause, now time.Time) {
 	if r.stopCause != "" {
@@ -82,5 +94,9 @@
 	if c.Discarded == nil || r.job == nil {
 		return
 	}
-	c.Discarded(string(cause), r.need.CoreSeconds(r.unsavedTime(c.Limits.CheckpointInterval, now)))
+	lost := r.unsavedTime(c.Limits.CheckpointInterval, now)
+	if r.stopCause != "" {
+		lost = r.timeLostByStop(c.Limits.RestoreTime, now)
+	}
+	c.Discarded(string(cause), r.need.CoreSeconds(lost))
 }
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -157,11 +157,7 @@
 		}
 	}
 	for _, m := range u.attempts {
-		lostTime := m.unsavedTime(p.core.Limits.CheckpointInterval, p.now)
-		if m.job.step(m.id.Task.Step).SavesProgress {
-			lostTime += p.core.Limits.RestoreTime
-		}
-		u.waste += m.need.CoreSeconds(lostTime)
+		u.waste += m.need.CoreSeconds(m.timeLostByStop(p.core.Limits.RestoreTime, p.now))
 	}
 	u.cost = u.waste + restartCost*float64(len(u.attempts))
 	return u
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -283,6 +283,10 @@
 		saved := time.Duration(0)
 		if a.arrival.workload.Steps[0].SavesProgress {
 			saved = max(a.progress.Truncate(sm.scenario.CheckpointInterval), a.resumedFrom)
+			if outcome == descriptor.OutcomeStopped {
+				// A stop saves a checkpoint of its own.
+				saved = max(a.progress, a.resumedFrom)
+			}
 			if saved > 0 {
 				end.Checkpoint = saved.String()
 			}
