--- a/internal/loader/measure.go
+++ b/internal/loader/measure.go
@@ -257,10 +257,16 @@
 }
 
 // repeatAtRate calls f with ascending numbers, rate times per second, until ctx ends. Each call has its own goroutine in group.
+// The first call comes after half of an interval, so that the last one does not coincide with the end of ctx.
 func (t *runState) repeatAtRate(ctx context.Context, group *sync.WaitGroup, rate float64, f func(i int)) {
-	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	interval := time.Duration(float64(time.Second) / rate)
+	if sleep(ctx, interval/2) != nil {
+		return
+	}
+	group.Go(func() { f(0) })
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
-	for i := 0; ; i++ {
+	for i := 1; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
