Orders in the answers to heartbeats

Workers do not check a start's deadline there, so an unconfirmed start is ruled out by a stop; the hold counts from the arrival of the answer, so the leader waits a second longer.

--- a/cmd/persimmontrail-node/agent.go
+++ b/cmd/persimmontrail-node/agent.go
@@ -11,17 +11,21 @@
 func runAgent(ctx context.Context, p *process) error {
 	nodeSettings := p.settings
 	store := platform.NewStore(nodeSettings.StoreAddress, p.metrics)
-	worker := platform.NewWorkerClient(nodeSettings.WorkerAddress)
-	workerAgent := &agent.Agent{
-		Node: nodeSettings.Node, HoldAttempts: worker.HoldAttempts, StartAttempt: worker.StartAttempt, StopAttempt: worker.StopAttempt,
-		Log: p.log, Metrics: p.metrics,
+	workerAgent := &agent.Agent{Node: nodeSettings.Node, Log: p.log, Metrics: p.metrics}
+	var carrier *platform.BeatCarrier
+	if nodeSettings.OrdersInHeartbeats {
+		carrier = &platform.BeatCarrier{Address: nodeSettings.WorkerAddress}
+		workerAgent.HoldAttempts, workerAgent.StartAttempt, workerAgent.StopAttempt = carrier.HoldAttempts, carrier.StartAttempt, carrier.StopAttempt
+	} else {
+		worker := platform.NewWorkerClient(nodeSettings.WorkerAddress)
+		workerAgent.HoldAttempts, workerAgent.StartAttempt, workerAgent.StopAttempt = worker.HoldAttempts, worker.StartAttempt, worker.StopAttempt
 	}
 	go workerAgent.Run(ctx)
 	peerServer, err := p.serve(nodeSettings.PeerAddress, workerAgent.Handler())
 	if err != nil {
 		return err
 	}
-	heartbeatServer, err := p.serve(nodeSettings.HeartbeatAddress, platform.HeartbeatHandler(workerAgent, p.log))
+	heartbeatServer, err := p.serve(nodeSettings.HeartbeatAddress, platform.HeartbeatHandler(workerAgent, carrier, p.log))
 	if err != nil {
 		return err
 	}
--- a/cmd/persimmontrail-node/entry.go
+++ b/cmd/persimmontrail-node/entry.go
@@ -51,7 +51,8 @@
 			DistanceFactor: nodeSettings.DistanceFactor, CheckpointInterval: nodeSettings.CheckpointInterval, RestoreTime: nodeSettings.RestoreTime,
 			StopGrace: nodeSettings.StopGrace, ReclaimTime: nodeSettings.ReclaimTime,
 		},
-		MaxHold: nodeSettings.MaxHold, EndedRetention: nodeSettings.EndedRetention + nodeSettings.EndedRetention/2, Log: p.log, Metrics: p.metrics,
+		MaxHold: nodeSettings.MaxHold, HoldSlack: platform.HoldSlack(nodeSettings), StartsUnbounded: nodeSettings.OrdersInHeartbeats,
+		EndedRetention: nodeSettings.EndedRetention + nodeSettings.EndedRetention/2, Log: p.log, Metrics: p.metrics,
 	}
 	documents.Changed, leaderKey.Changed = scheduler.DocumentChanged, scheduler.KeyChanged
 	documents.BatchDelay = func() time.Duration {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -71,6 +71,11 @@
 	Limits   planner.Limits
 	// MaxHold is the longest time that a worker keeps its attempts without a new hold deadline.
 	MaxHold time.Duration
+	// HoldSlack is how much longer than its deadline a worker may keep its attempts.
+	HoldSlack time.Duration
+	// StartsUnbounded means that workers do not check the deadline of a start, so that only a stop rules out that an
+	// unanswered one takes effect.
+	StartsUnbounded bool
 	// EndedRetention is how long ended workloads stay readable, counted from when the current leader first saw them as
 	// ended.
 	EndedRetention time.Duration
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -405,3 +405,14 @@
 		wg.Wait()
 	})
 }
+
+// TestHoldSlack guards against attempts that are given up while a worker still keeps them, because it counts the hold from
+// the arrival of an answer and not to a time on its clock.
+func TestHoldSlack(t *testing.T) {
+	leaderTerm := newLeaderTerm(t, newMemoryStore())
+	leaderTerm.leader.HoldSlack = time.Second
+	reportedAt := time.Now()
+	agentLink := &link{term: leaderTerm, node: "n", reported: true, lastClock: 1000, lastClockAt: reportedAt, maxHoldUntil: 11000}
+	assert.Assert(t, !agentLink.holdExpired(reportedAt.Add(11*time.Second)))
+	assert.Assert(t, agentLink.holdExpired(reportedAt.Add(11500*time.Millisecond)))
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -238,7 +238,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	elapsed := float64(now.Sub(l.lastClockAt).Milliseconds()) / maxClockSlowdown
-	expiry := max(l.maxHoldUntil, l.lastClock+descriptor.WorkerClock(l.term.leader.MaxHold.Milliseconds()))
+	expiry := max(l.maxHoldUntil, l.lastClock+descriptor.WorkerClock(l.term.leader.MaxHold.Milliseconds())) +
+		descriptor.WorkerClock(l.term.leader.HoldSlack.Milliseconds())
 	return float64(l.lastClock)+elapsed > float64(expiry)
 }
 
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -352,7 +352,9 @@
 		}
 		t.logOrder("start", o)
 		deadline := l.estimatedClock(now) + descriptor.WorkerClock(startValidity.Milliseconds())
-		t.core.SetStartDeadline(o.Node, o.Attempt, deadline)
+		if !t.leader.StartsUnbounded {
+			t.core.SetStartDeadline(o.Node, o.Attempt, deadline)
+		}
 		b := batch(o)
 		b.Starts = append(b.Starts, agent.Start{AttemptID: o.Attempt, Spec: o.Spec, Checkpoint: o.Checkpoint, Deadline: deadline})
 	}
@@ -487,7 +489,7 @@
 			if l != nil {
 				waitingSince = l.waitingSince
 			}
-			if now.Sub(waitingSince) > time.Duration(maxClockSlowdown*float64(t.leader.MaxHold))+leaderLeaseTTL {
+			if now.Sub(waitingSince) > time.Duration(maxClockSlowdown*float64(t.leader.MaxHold+t.leader.HoldSlack))+leaderLeaseTTL {
 				t.core.RemoveNode(node, now, "no report in this term, all hold deadlines have passed")
 			}
 			continue
--- a/internal/planner/discard.go
+++ b/internal/planner/discard.go
@@ -21,12 +21,14 @@
 	causeHold       discardCause = "HoldExpired"
 	causeGangEnded  discardCause = "GangMemberEnded"
 	causeGangAlone  discardCause = "GangTimeout"
+	causeRefused    discardCause = "Refused"
 )
 
 // causeOfOutcome holds the cause for the outcomes of attempts that no stop was ordered for.
 var causeOfOutcome = map[descriptor.Outcome]discardCause{
 	descriptor.OutcomeFailed: causeFailed, descriptor.OutcomeStopped: causeWorkerLost, descriptor.OutcomeLeaseExpired: causeHold,
 	descriptor.OutcomeGangEnded: causeGangEnded, descriptor.OutcomeGangTimeout: causeGangAlone,
+	descriptor.OutcomeRefused: causeRefused,
 }
 
 // gangRun identifies one attempt of a gang as a whole.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -128,6 +128,9 @@
 			switch {
 			case r.stopping && now.Sub(r.stopOrderedAt) >= stopRetryInterval:
 				orders = append(orders, c.orderStop(r, now, r.stopCause, "stop not confirmed; repeated")...)
+			case !r.stopping && !r.confirmed && r.startDeadline == noStartDeadline && now.Sub(r.placed) > maxStartConfirmation:
+				orders = append(orders, c.orderStop(r, now, causeWorkerLost, "start not confirmed, and not ruled out")...)
+				w.suspectUntil = now.Add(suspectPeriod)
 			case c.stalled(r):
 				orders = append(orders, c.orderStop(r, now, causeStalled, fmt.Sprintf("no progress for %v at %d percent",
 					r.timeWithoutProgress().Round(time.Millisecond), r.percent))...)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -247,6 +248,33 @@
 	}
 }
 
+// TestUnboundedStartIsStopped guards against a task that waits for good, or runs twice, after a start that the worker
+// does not check against a deadline and that shows no effect: only a stop rules it out.
+func TestUnboundedStartIsStopped(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("job", 1, 1, 5*time.Second)
+	o := f.core.Plan(f.now)[0]
+	report := func() []Order {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.clock += 500
+		return f.core.Observe(Observation{Node: o.Node, Status: f.status[o.Node], Clock: f.clock, Received: f.now})
+	}
+	for f.now.Before(time.Unix(1000, 0).Add(maxStartConfirmation)) {
+		assert.Equal(t, len(report()), 0)
+		assert.Equal(t, len(f.core.Plan(f.now)), 0)
+	}
+	report()
+	orders := f.core.Plan(f.now)
+	assert.Assert(t, len(orders) == 1 && orders[0].Stop && orders[0].Attempt == o.Attempt, "%+v", orders)
+	report()
+	f.core.HandleStopped(o.Node, o.Incarnation, o.Attempt, f.clock)
+	report()
+	f.reportAll()
+	f.planAndApply()
+	_, attemptID := f.attemptOf("job", 0)
+	assert.Equal(t, attemptID.Attempt, 2)
+}
+
 // TestMaxAttempts guards against a miscount of failures: a workload that fails before the last of its MaxAttempts
 // attempts, or whose task is attempted once more.
 func TestMaxAttempts(t *testing.T) {
@@ -497,6 +525,54 @@
 	assert.Assert(t, first != second)
 }
 
+// TestDiscardedWork guards against work that is lost without being counted, or under another cause. A stop of work that
+// saves its progress loses only the restore.
+func TestDiscardedWork(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		saves bool
+		end   func(f *fixture, node string, id descriptor.AttemptID)
+		cause string
+		// seconds is the lost time of a task of 4 cores and one accelerator, which counts as 8 cores.
+		seconds float64
+	}{
+		{"failed", false, func(f *fixture, node string, id descriptor.AttemptID) {
+			f.endAttempt(node, id, descriptor.OutcomeFailed)
+		}, "Failed", 2},
+		{"failed, saves", true, func(f *fixture, node string, id descriptor.AttemptID) {
+			f.endAttempt(node, id, descriptor.OutcomeFailed)
+		}, "Failed", 1},
+		{"worker lost", false, func(f *fixture, node string, _ descriptor.AttemptID) { f.core.RemoveNode(node, f.now, "gone") }, "WorkerLost", 2},
+		{"cancelled", false, func(f *fixture, _ string, _ descriptor.AttemptID) {
+			f.core.Submit(Record{Workload: descriptor.Workload{ID: "job"}, Cancelled: true}, f.now)
+			f.planAndApply()
+		}, "WorkloadEnded", 2},
+		{"cancelled, saves", true, func(f *fixture, _ string, _ descriptor.AttemptID) {
+			f.core.Submit(Record{Workload: descriptor.Workload{ID: "job"}, Cancelled: true}, f.now)
+			f.planAndApply()
+		}, "WorkloadEnded", 0.5},
+		{"done", false, func(f *fixture, node string, id descriptor.AttemptID) { f.endAttempt(node, id, descriptor.OutcomeDone) }, "", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			discarded := map[string]float64{}
+			f.core.Discarded = func(cause string, coreSeconds float64) { discarded[cause] += coreSeconds }
+			f.submit("job", 1, 1, 5*time.Second, func(w *descriptor.Workload) { w.Steps[0].SavesProgress = test.saves })
+			f.planAndApply()
+			f.advance(2 * time.Second)
+			node, id := f.attemptOf("job", 0)
+			test.end(f, node, id)
+			f.reportNode(node)
+			if test.cause == "" {
+				assert.Equal(t, len(discarded), 0)
+				return
+			}
+			assert.Equal(t, len(discarded), 1, "%v", discarded)
+			assert.Assert(t, math.Abs(discarded[test.cause]-12*test.seconds) < 0.01, "%v", discarded)
+		})
+	}
+}
+
 // TestAttemptEndingBeforeDrainIsNotStopped guards against stopping an attempt on a draining worker although it would
 // end in time. Its progress was reported a while ago, and the time since was not counted as work (seen at 84 percent,
 // with 1.6 s of work left and 2.1 s until the worker left).
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -30,6 +30,9 @@
 	// which may be too short by a factor of ten.
 	stallPercent      = 6
 	startStallPercent = 16
+	// maxStartConfirmation is how long an attempt whose start has no deadline may be unconfirmed before it is stopped. It
+	// covers a call with orders and two reports.
+	maxStartConfirmation = 2500 * time.Millisecond
 	// stopRetryInterval is the time after which an unconfirmed stop order is repeated.
 	stopRetryInterval = 1200 * time.Millisecond
 )
@@ -368,6 +371,9 @@
 		c.handleDone(j, e, r, w, now)
 	case descriptor.OutcomeFailed:
 		c.handleFailed(j, e, t, w, now)
+	case descriptor.OutcomeRefused:
+		// The reason is not known, so the worker may refuse the next start as well.
+		w.suspectUntil = now.Add(suspectPeriod)
 	}
 }
 
--- a/pkg/descriptor/attempts.go
+++ b/pkg/descriptor/attempts.go
@@ -69,6 +69,9 @@
 	OutcomeGangEnded Outcome = "Broken"
 	// OutcomeGangTimeout means that other members of the gang did not start in time.
 	OutcomeGangTimeout Outcome = "Alone"
+	// OutcomeRefused means that the worker refused to start the attempt. Only workers that take orders from the answers to
+	// their heartbeats list it.
+	OutcomeRefused Outcome = "Refused"
 )
 
 // AttemptEnd describes the end of an attempt. The worker lists it until it is acknowledged.
