--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -96,8 +96,11 @@
 	mu sync.Mutex
 	// unreachableUntil maps the address of an entry that was not reached to the time until which no calls are sent to it.
 	unreachableUntil map[string]time.Time
-	// lastOutageAt is the last time at which a forwarded call found that no other entry could reach the store either.
+	// lastOutageAt is the last time at which a forwarded call found that none of the entries asked could reach the store
+	// either.
 	lastOutageAt time.Time
+	// servingAddress is the address of the entry that has served a forwarded call last.
+	servingAddress string
 }
 
 // PlanCache holds the newest configuration that the process has seen. It ignores older revisions.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
@@ -485,3 +488,64 @@
 	_, ok := m.items[archiver.JobKey("j")]
 	assert.Assert(t, ok)
 }
+
+// newPeers puts the documents of n entries into the store, all of which serve answers the calls of, and returns the number
+// of calls that they got.
+func newPeers(t *testing.T, m *memoryStore, n int, serve func(call int32) Reply) *atomic.Int32 {
+	t.Helper()
+	calls := &atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		data, err := cbor.Marshal(serve(calls.Add(1)))
+		assert.Check(t, err)
+		_, err = w.Write(data)
+		assert.Check(t, err)
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	for i := range n {
+		node := fmt.Sprintf("peer-%d", i)
+		m.put(archiver.EntryKey(node), archiver.Encode(archiver.Member{Node: node, Address: address}))
+	}
+	return calls
+}
+
+// TestOutageOfLargeDeployment guards against a refusal that comes a second late because all of many entries are asked one
+// after the other while the store is away for all, and against messages that grow with the square of the entries.
+func TestOutageOfLargeDeployment(t *testing.T) {
+	m := &memoryStore{}
+	calls := newPeers(t, m, 60, func(int32) Reply {
+		time.Sleep(12 * time.Millisecond)
+		return Reply{Code: CodeLocalFailure}
+	})
+	a := newAdmitter(t, m)
+	m.commitFault = func() error { return archiver.ErrUnavailable }
+	start := time.Now()
+	assert.Equal(t, a.Serve(t.Context(), submitCall("j")).Code, CodeRefused)
+	assert.Assert(t, time.Since(start) < 300*time.Millisecond, "%v", time.Since(start))
+	assert.Equal(t, calls.Load(), int32(maxPeersAsked))
+	assert.Equal(t, a.Serve(t.Context(), submitCall("k")).Code, CodeRefused)
+	assert.Equal(t, calls.Load(), int32(maxPeersAsked), "the outage is known")
+}
+
+// TestServingPeerIsAskedAgain guards against a cut-off entry that looks for an entry with the store anew for each call.
+func TestServingPeerIsAskedAgain(t *testing.T) {
+	m := &memoryStore{}
+	newPeers(t, m, 60, func(int32) Reply { return Reply{Code: CodeLocalFailure} })
+	var served atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		data, err := cbor.Marshal(Reply{Code: CodeDone})
+		assert.Check(t, err)
+		_, err = w.Write(data)
+		assert.Check(t, err)
+	}))
+	defer server.Close()
+	m.put(archiver.EntryKey("good"), archiver.Encode(archiver.Member{Node: "good", Address: strings.TrimPrefix(server.URL, "http://")}))
+	a := newAdmitter(t, m)
+	m.commitFault = func() error { return archiver.ErrUnavailable }
+	a.markServing(archiver.Member{Address: strings.TrimPrefix(server.URL, "http://")})
+	for i := range 20 {
+		assert.Equal(t, a.Serve(t.Context(), submitCall(descriptor.JobID(fmt.Sprintf("j%d", i)))).Code, CodeDone)
+	}
+	assert.Equal(t, served.Load(), int32(20))
+}
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +39,10 @@
 	// outageTTL is how long an entry forwards no calls after a forwarded call has shown that no other entry can reach
 	// the store.
 	outageTTL = 300 * time.Millisecond
+	// maxPeersAsked bounds the entries that are asked for one call. Asking all of them would take a second in a large
+	// deployment, and while the store is away for all, the messages would grow with the square of the entries. If a third
+	// of the entries are cut off, one call in a hundred finds no other one and is refused.
+	maxPeersAsked = 5
 	// unreachableTTL is how long no calls are forwarded to an entry that did not answer. It spares calls to entries that
 	// were replaced, whose documents remain in the store.
 	unreachableTTL = 5 * time.Second
@@ -46,7 +52,7 @@
 	planPollInterval = 400 * time.Millisecond
 )
 
-// serveByPeers forwards a call that this entry could not serve to the other entries, the leader first. local is this
+// serveByPeers forwards a call that this entry could not serve to some of the other entries, the leader first. local is this
 // entry's reply. The result is the final reply and, for logs, where it came from. Once this or another entry may have
 // carried out a submission, the reply is never a refusal.
 func (a *Admitter) serveByPeers(ctx context.Context, c Call, local Reply) (Reply, string) {
@@ -55,7 +61,7 @@
 	if local.Code == CodeUnknown {
 		unknownReply = local
 	}
-	peers := a.peers()
+	peers := a.peersToAsk()
 	if a.outageRecent() {
 		peers = nil
 	}
@@ -86,6 +92,7 @@
 			continue
 		}
 		if r.Code != CodeLocalFailure && r.Code != CodeRefused {
+			a.markServing(m)
 			return r, m.Node
 		}
 	}
@@ -116,7 +123,7 @@
 	a.unreachableUntil[m.Address] = time.Now().Add(unreachableTTL)
 }
 
-// recordOutage records that no other entry could reach the store either.
+// recordOutage records that none of the entries asked could reach the store either.
 func (a *Admitter) recordOutage() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -197,6 +204,31 @@
 	return members
 }
 
+// peersToAsk returns at most maxPeersAsked other entries: the leader, then the one that has served a call last, then others
+// by chance.
+func (a *Admitter) peersToAsk() []archiver.Member {
+	members := a.peers()
+	if len(members) <= 1 {
+		return members
+	}
+	others := members[1:]
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	a.mu.Lock()
+	serving := a.servingAddress
+	a.mu.Unlock()
+	if i := slices.IndexFunc(others, func(m archiver.Member) bool { return m.Address == serving }); i > 0 {
+		others[0], others[i] = others[i], others[0]
+	}
+	return members[:min(len(members), maxPeersAsked)]
+}
+
+// markServing records that an entry has served a forwarded call.
+func (a *Admitter) markServing(m archiver.Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.servingAddress = m.Address
+}
+
 // peerTransport carries all requests between entries.
 var peerTransport = &http.Transport{
 	DialContext:         (&net.Dialer{Timeout: 400 * time.Millisecond, KeepAlive: 5 * time.Second}).DialContext,
@@ -335,8 +367,9 @@
 		if a.planConfirmedWithin(maxPlanAge) || a.Documents.Confirmed().IsZero() {
 			continue
 		}
-		for _, m := range a.peers() {
+		for _, m := range a.peersToAsk() {
 			if a.pollPeer(ctx, m) {
+				a.markServing(m)
 				break
 			}
 		}
