agent: an acknowledgement is sent only on a connection on which the incarnation was seen

Change: a poll acknowledges ends and extends the hold only if the poll before showed the current incarnation, and only on the same connection, which a restart breaks; otherwise a plain poll comes first. TestWorkerWithoutProcessIsGone rested on the 0.5 s that its fake waits before it refuses a connection; it now counts that exactly one refusal does not make the worker gone.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,6 +97,9 @@
 	listsFence descriptor.Fence
 	// listsRequestedAt is the boot time at which the request for lists was sent.
 	listsRequestedAt time.Duration
+	// verified is true if the last poll showed status.Incarnation. Only then the next one may acknowledge ends and extend
+	// the hold, on the same connection.
+	verified bool
 	// noProcessSince is the time since which each poll was refused a connection; zero if the last poll was not.
 	noProcessSince time.Time
 	// lastPollErr is the error of the last poll, kept to log only changes between success and failure.
@@ -126,7 +129,7 @@
 	a.Log.Info("new worker incarnation", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born, "rack", status.Rack,
 		"accelerators", status.Capacity.Accelerators, "before", a.status.Incarnation.Born)
 	a.holdUntil, a.ackedSeq, a.hasLists, a.lists, a.workerGone, a.leaving = 0, 0, false, AttemptLists{}, false, false
-	a.noProcessSince, a.candidate, a.contested, a.confirmed = time.Time{}, nil, nil, false
+	a.noProcessSince, a.candidate, a.contested, a.confirmed, a.verified = time.Time{}, nil, nil, false, false
 	a.hasStatus, a.status = true, status
 	a.publish()
 }
@@ -216,7 +219,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	wake := a.wakeChannel()
 	for ctx.Err() == nil {
-		pause := a.pollWorker(ctx, pollWait)
+		pause := a.pollWorker(ctx, pollWait, true)
 		if pause == 0 {
 			continue
 		}
@@ -232,14 +235,18 @@
 
 // pollWorker polls the worker once and returns the pause before the next poll. It does not poll before a heartbeat and
 // a call of a leader have arrived, nor a worker that is gone. A poll under a new fence asks for the lists without
-// waiting. While another incarnation is announced, the poll is addressed to that one.
-func (a *Agent) pollWorker(ctx context.Context, wait time.Duration) time.Duration {
+// waiting. While another incarnation is announced, the poll is addressed to that one. With acknowledge, the poll also
+// acknowledges ends and extends the hold if the last such poll has shown the current incarnation; otherwise it only reads.
+func (a *Agent) pollWorker(ctx context.Context, wait time.Duration, acknowledge bool) time.Duration {
 	a.mu.Lock()
 	if a.candidate != nil && time.Since(a.candidateAt) > candidatePeriod {
 		a.candidate = nil
 	}
 	candidate := a.candidate
-	hold := HoldRequest{Incarnation: a.status.Incarnation, Fence: a.fence, AckedSeq: a.ackedSeq, HoldUntil: a.holdUntil, Wait: wait}
+	hold := HoldRequest{Incarnation: a.status.Incarnation, Fence: a.fence}
+	if acknowledge && a.verified {
+		hold.AckedSeq, hold.HoldUntil, hold.Wait, hold.SameConnection = a.ackedSeq, a.holdUntil, wait, true
+	}
 	if candidate != nil {
 		hold = HoldRequest{Incarnation: candidate.Incarnation, Fence: a.fence}
 	}
@@ -257,7 +264,7 @@
 	lists, err := a.HoldAttempts(callCtx, hold)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if (err == nil) != (a.lastPollErr == nil) && ctx.Err() == nil {
+	if (err == nil) != (a.lastPollErr == nil) && ctx.Err() == nil && !errors.Is(err, ErrConnectionLost) {
 		a.Log.Info("result of worker poll changed", "worker", hold.Incarnation.Worker, "born", hold.Incarnation.Born, "err", err)
 	}
 	a.lastPollErr = err
@@ -265,10 +272,21 @@
 		a.judgeCandidate(candidate, lists, err)
 	}
 	a.detectWorkerGone(hold.Incarnation, err)
-	if err != nil {
+	stored := err == nil && a.storeLists(hold, lists, requestedAt)
+	if acknowledge {
+		wasVerified := a.verified
+		a.verified = stored && hold.Incarnation == a.status.Incarnation
+		if !a.verified && wasVerified && errors.Is(err, ErrConnectionLost) {
+			return 0
+		}
+	}
+	switch {
+	case !stored:
 		return pollRetryPause
+	case len(a.lists.Ended) > 0:
+		return ackWait
 	}
-	return a.storeLists(hold, lists, requestedAt)
+	return 0
 }
 
 // judgeCandidate decides on an announced incarnation by the worker's answer to a poll that was addressed to it. Without
@@ -313,14 +331,11 @@
 	}
 }
 
-// storeLists stores the lists unless they are older than the stored ones or from another incarnation. It returns the
-// pause before the next poll. requestedAt is the boot time at which the poll was sent. The caller holds a.mu.
-func (a *Agent) storeLists(hold HoldRequest, lists AttemptLists, requestedAt time.Duration) time.Duration {
-	if !confirms(lists, a.status.Incarnation) || hold.Incarnation != a.status.Incarnation {
-		return pollRetryPause
-	}
-	if a.hasLists && lists.Clock < a.lists.Clock {
-		return 0
+// storeLists stores the lists, unless they are older than the stored ones or from another incarnation, and reports
+// whether it did. requestedAt is the boot time at which the poll was sent. The caller holds a.mu.
+func (a *Agent) storeLists(hold HoldRequest, lists AttemptLists, requestedAt time.Duration) bool {
+	if !confirms(lists, a.status.Incarnation) || hold.Incarnation != a.status.Incarnation || a.hasLists && lists.Clock < a.lists.Clock {
+		return false
 	}
 	changed := !a.hasLists || !a.confirmed || hold.Fence > a.listsFence || !sameAttempts(a.lists, lists)
 	a.lists, a.hasLists, a.listsFence, a.confirmed = lists, true, max(a.listsFence, hold.Fence), true
@@ -329,10 +344,7 @@
 		a.publish()
 		a.clearWake()
 	}
-	if len(lists.Ended) > 0 {
-		return ackWait
-	}
-	return 0
+	return true
 }
 
 // bootTime returns the time by the clock that also counts suspensions.
@@ -369,7 +381,7 @@
 		a.awaitChange(ctx, request)
 	case len(request.Stops) > 0:
 		// The leader needs lists that were read after the stops.
-		a.pollWorker(ctx, 0)
+		a.pollWorker(ctx, 0, false)
 	}
 	return a.report(results)
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -33,8 +33,13 @@
 	startCalls int
 	// lostAnswers is the number of further starts that take effect although their answer is lost.
 	lostAnswers int
-	// processGone makes the worker refuse all connections.
+	// processGone makes the worker refuse all connections, refusals counts them.
 	processGone bool
+	refusals    int
+	// connectionLost makes the next poll that must be sent on the connection of the last one fail.
+	connectionLost bool
+	// acked is the highest acknowledgement of any poll that the worker got, in any incarnation.
+	acked int64
 	// clockOrigin is the time at which the worker's clock was zero.
 	clockOrigin time.Time
 }
@@ -65,8 +70,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.processGone {
+		f.refusals++
 		return AttemptLists{}, ErrNoProcess
 	}
+	if f.connectionLost {
+		f.connectionLost = false
+		if h.SameConnection {
+			return AttemptLists{}, ErrConnectionLost
+		}
+	}
+	f.acked = max(f.acked, h.AckedSeq)
 	if h.Incarnation.Worker != incarnation.Worker {
 		return AttemptLists{}, ErrOtherIncarnation
 	}
@@ -227,6 +240,35 @@
 	})
 }
 
+// TestFormerAcknowledgementIsNotSent guards against an end that is lost because the worker was restarted under the same id
+// and took the acknowledgement of its former incarnation for its own: a task that has failed was started more often than
+// allowed, and one that is done could run again (soak test, seed 28, once in 40 runs).
+func TestFormerAcknowledgementIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		agent := newAgent(t, worker)
+		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+		time.Sleep(time.Second)
+		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, AckedSeq: 5})
+		time.Sleep(time.Second)
+		worker.restart(2)
+		worker.mu.Lock()
+		worker.acked = 0
+		worker.connectionLost = true
+		worker.ended = []descriptor.AttemptEnd{{Seq: 1, AttemptID: attemptID(0, 1), Outcome: descriptor.OutcomeFailed}}
+		worker.mu.Unlock()
+		// The heartbeat of the new incarnation comes up to 1.5 s later.
+		time.Sleep(1500 * time.Millisecond)
+		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: descriptor.Incarnation{Worker: "w", Born: 2}, Service: "s"})
+		time.Sleep(time.Second)
+		report := agent.Sync(t.Context(), SyncRequest{Fence: 1})
+		assert.Equal(t, len(report.Ended), 1)
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		assert.Equal(t, worker.acked, int64(0))
+	})
+}
+
 // TestOddHeartbeatIsNotBelieved guards against a heartbeat of another writer that captures the agent: every later
 // heartbeat of the real worker was taken for that of an older incarnation, and its attempts were given up. The report
 // must stay that of the real worker, whose hold goes on.
@@ -450,9 +492,20 @@
 			defer worker.mu.Unlock()
 			worker.processGone = gone
 		}
+		refusals := func() int {
+			worker.mu.Lock()
+			defer worker.mu.Unlock()
+			return worker.refusals
+		}
 		setProcessGone(true)
-		time.Sleep(pollWait + 50*time.Millisecond)
+		for refusals() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		setProcessGone(false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, refusals(), 1)
 		assert.Assert(t, !agent.Sync(t.Context(), SyncRequest{Fence: 1}).WorkerGone)
+		setProcessGone(true)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, agent.Sync(t.Context(), SyncRequest{Fence: 1}).WorkerGone)
 		worker.restart(2)
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -108,6 +108,8 @@
 	ErrOtherIncarnation = errors.New("another incarnation of the worker answered")
 	// ErrNoProcess means that nothing listens at the worker's address on the agent's own VM.
 	ErrNoProcess = errors.New("no process listens at the worker address")
+	// ErrConnectionLost means that the connection of the last poll is gone, and the call was not sent.
+	ErrConnectionLost = errors.New("connection to the worker was lost")
 	// ErrRefused means that the worker refused the call, which had no effect.
 	ErrRefused = errors.New("worker refused the call")
 )
@@ -123,4 +125,8 @@
 	HoldUntil descriptor.WorkerClock
 	// Wait is how long the worker may wait for an attempt to end before it answers.
 	Wait time.Duration
+	// SameConnection means that the poll must be sent on the connection of the last successful one, or else not at all. A
+	// worker that was restarted under the same id takes an acknowledgement that was meant for its former incarnation; on
+	// one connection the incarnation stays the same.
+	SameConnection bool
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -233,6 +233,9 @@
 // serve serves h on l until the deployment is closed.
 func (dp *deployment) serve(l net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h}
+	if w, ok := h.(*emulator.Worker); ok {
+		s.ConnState = w.TrackConnection
+	}
 	go func() { _ = s.Serve(l) }()
 	dp.closers = append(dp.closers, func() { _ = s.Close() })
 }
