--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -43,6 +43,8 @@
 	Callers int
 	// Load is the time for which callers submit jobs and faults are injected.
 	Load time.Duration
+	// OrdersInHeartbeats makes the workers take their orders from the answers to their heartbeats.
+	OrdersInHeartbeats bool
 }
 
 // Result is the outcome of a soak run.
@@ -266,7 +268,7 @@
 	name := fmt.Sprintf("entry-%d", index)
 	e.process, err = dp.launch(name, "entry", e.peerRelay.address(), emulator.Settings{
 		Node: name, FailureDomain: failureDomain, Region: "region", IP: e.ip, CallerPort: callerPort, ReadyPort: readyPort, FirstPort: peerPort,
-		StoreAddress: e.storeRelay.address(), Bounds: platformBounds,
+		StoreAddress: e.storeRelay.address(), OrdersInHeartbeats: dp.OrdersInHeartbeats, Bounds: platformBounds,
 	})
 	dp.entries = append(dp.entries, e)
 	return err
@@ -287,7 +289,7 @@
 	a.worker = &emulator.Worker{
 		VM: name, Service: service, FailureDomain: a.failureDomain, Rack: descriptor.RackID(fmt.Sprintf("r1-%d", index/rackSize)),
 		Capacity:         descriptor.Capacity{Cores: 64000, Memory: 131072, Accelerators: 8},
-		HeartbeatAddress: a.heartbeatRelay.address(), ClockRate: 1 - 0.02*dp.random.Float64(),
+		HeartbeatAddress: a.heartbeatRelay.address(), OrdersInHeartbeats: dp.OrdersInHeartbeats, ClockRate: 1 - 0.02*dp.random.Float64(),
 	}
 	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", a.ip, workerPort))
 	if err != nil {
@@ -297,7 +299,8 @@
 	dp.serve(l, a.worker)
 	a.process, err = dp.launch(name, "agent", a.peerRelay.address(), emulator.Settings{
 		Node: name, FailureDomain: a.failureDomain, Region: "region", IP: a.ip, HeartbeatPort: heartbeatPort, FirstPort: peerPort,
-		WorkerAddress: a.orderRelay.address(), StoreAddress: a.storeRelay.address(), Bounds: platformBounds,
+		WorkerAddress: a.orderRelay.address(), StoreAddress: a.storeRelay.address(), OrdersInHeartbeats: dp.OrdersInHeartbeats,
+		Bounds: platformBounds,
 	})
 	dp.agents = append(dp.agents, a)
 	return err
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -30,14 +30,20 @@
 
 // TestSoak guards against programs that break a promise of the system when connections, processes, the store and
 // workers fail, and against a load of which no job is done.
-func TestSoak(t *testing.T) { runSeeds(t, []regressionSeed{{1, "fixed"}, {2, "fixed"}}) }
+func TestSoak(t *testing.T) { runSeeds(t, []regressionSeed{{1, "fixed"}, {2, "fixed"}}, Options{}) }
+
+// TestSoakOrdersInHeartbeats is TestSoak with workers that take their orders from the answers to their heartbeats.
+func TestSoakOrdersInHeartbeats(t *testing.T) {
+	runSeeds(t, []regressionSeed{{100, "fixed"}, {101, "fixed"}}, Options{OrdersInHeartbeats: true})
+}
 
 // TestSoakBrokenSeeds guards against the return of the faults in regressionSeeds, by the load and faults that once
 // showed them.
-func TestSoakBrokenSeeds(t *testing.T) { runSeeds(t, regressionSeeds) }
+func TestSoakBrokenSeeds(t *testing.T) { runSeeds(t, regressionSeeds, Options{}) }
 
-// runSeeds builds the program persimmontrail-node and runs the soak once per seed.
-func runSeeds(t *testing.T, seeds []regressionSeed) {
+// runSeeds builds the program persimmontrail-node and runs the soak once per seed. It sets the size, the seed and the
+// paths in options.
+func runSeeds(t *testing.T, seeds []regressionSeed, options Options) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes; skipped with -short")
@@ -59,7 +65,9 @@
 				}
 				assert.Check(t, os.RemoveAll(dir))
 			})
-			options := Options{Program: program, Dir: dir, Seed: s.seed, Entries: 3, Agents: 4, Callers: 3, Load: 8 * time.Second}
+			options := options
+			options.Program, options.Dir, options.Seed = program, dir, s.seed
+			options.Entries, options.Agents, options.Callers, options.Load = 3, 4, 3, 8*time.Second
 			result, err := Run(t.Context(), options)
 			assert.NilError(t, err)
 			assert.Equal(t, len(result.Violations), 0, "%v\nfaults: %v", result.Violations, result.Faults)
