--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -92,7 +92,7 @@
 	setAside map[descriptor.JobID]archiver.Revision
 	// keyChanged holds a value after KeyChanged was called; nil until it is first needed.
 	keyChanged chan struct{}
-	// panicCount is the number of terms in a row that a panic has ended.
+	// panicCount is the number of terms in a row that a panic has ended. It belongs to the goroutine of Run.
 	panicCount int
 }
 
