An id of a job is 1 to 64 letters, digits, hyphens or underscores

Cause (last look at what one message can reach): a submission under the id 'a.b' was accepted, and the names of its tasks could not be parsed, so that no list of a worker that ran it could be decoded; the worker was lost until the task ended, and the next one after it. An id with bytes that are no UTF-8 was accepted and its record could not be read again: never run. Questions under such ids looked like an outage.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -549,3 +549,20 @@
 	}
 	assert.Equal(t, served.Load(), int32(20))
 }
+
+// TestIDThatNamesNoJob guards against an id that the store or the names of tasks cannot hold: the call was accepted, or
+// looked like an outage, because the store rejects such a key.
+func TestIDThatNamesNoJob(t *testing.T) {
+	m := &memoryStore{}
+	a := newAdmitter(t, m)
+	for _, id := range []descriptor.JobID{"a.b", "a\xff", descriptor.JobID(strings.Repeat("a", 65))} {
+		c := submitCall(id)
+		assert.Equal(t, a.Serve(t.Context(), c).Code, CodeInvalid)
+		for _, action := range []Action{ActionState, ActionCancel} {
+			c.Action = action
+			assert.Equal(t, a.Serve(t.Context(), c).Code, CodeNoJob)
+		}
+		_, ok := m.items[archiver.JobKey(id)]
+		assert.Assert(t, !ok)
+	}
+}
--- a/internal/admitter/serve.go
+++ b/internal/admitter/serve.go
@@ -178,6 +178,10 @@
 		}
 		return Reply{}, ErrNoJob
 	}
+	if c.Action != ActionSubmit && c.Action != ActionCount && !descriptor.ValidWorkloadID(id) {
+		// The store rejects keys with some of these ids, which must not look like an outage.
+		return Reply{}, ErrNoJob
+	}
 	switch c.Action {
 	case ActionSubmit:
 		v, err := a.Submit(ctx, t, c.Workload)
--- a/pkg/descriptor/workload.go
+++ b/pkg/descriptor/workload.go
@@ -188,12 +188,33 @@
 	maxSize = 1_000_000_000
 )
 
+// maxWorkloadIDBytes bounds the id of a workload. Keys of the store have at most 200 bytes, and the platform's ids 16.
+const maxWorkloadIDBytes = 64
+
+// ValidWorkloadID reports whether id can name a workload: 1 to 64 letters, digits, hyphens or underscores. Other characters
+// cannot be part of a task id or of a stored document.
+func ValidWorkloadID(id JobID) bool {
+	if id == "" || len(id) > maxWorkloadIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		c := id[i]
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return true
+}
+
 // Check returns an error that names the first invalid field, or nil. It checks ID, Steps, Times and Interval only; of a
 // step, it checks Count, Size and After.
 func (w *Workload) Check() error {
 	if w.ID == "" {
 		return errors.New("field ID is empty")
 	}
+	if !ValidWorkloadID(w.ID) {
+		return fmt.Errorf("field ID is %.80q, want 1 to %d letters, digits, hyphens or underscores", w.ID, maxWorkloadIDBytes)
+	}
 	if len(w.Steps) == 0 {
 		return errors.New("field Steps is empty")
 	}
--- a/pkg/descriptor/workload_test.go
+++ b/pkg/descriptor/workload_test.go
@@ -18,6 +18,8 @@
 		want     string
 	}{
 		{"no id", descriptor.Workload{Steps: []descriptor.Step{step}}, "field ID is empty"},
+		{"id with a dot", descriptor.Workload{ID: "a.b", Steps: []descriptor.Step{step}}, `field ID is "a.b", want 1 to 64 letters, digits, hyphens or underscores`},
+		{"id that is no UTF-8", descriptor.Workload{ID: "a\xff", Steps: []descriptor.Step{step}}, `field ID is "a\xff", want 1 to 64 letters, digits, hyphens or underscores`},
 		{"no steps", descriptor.Workload{ID: "j"}, "field Steps is empty"},
 		{"no tasks", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{}}}, "field Steps[0].Count is 0, want at least 1"},
 		{"step after itself", descriptor.Workload{ID: "j", Steps: []descriptor.Step{{Count: 1, After: []int{0}}}}, "field Steps[0].After names step 0, want an earlier one"},
