--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -45,9 +45,6 @@
 // paths in options.
 func runSeeds(t *testing.T, seeds []regressionSeed, options Options) {
 	t.Helper()
-	if testing.Short() {
-		t.Skip("starts processes; skipped with -short")
-	}
 	program := filepath.Join(t.TempDir(), "node")
 	build := exec.Command("go", "build", "-o", program, "persimmontrail/cmd/persimmontrail-node")
 	out, err := build.CombinedOutput()
