--- a/review/_standin/cases_more.go
+++ b/review/_standin/cases_more.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -122,3 +123,38 @@
 	}
 	return breaks, nil
 }
+
+// runRename replaces the route by one with another name and the same host and prefix while a job is running, and asks
+// for the job before and after that.
+func runRename(d *deployment) ([]string, error) {
+	if err := d.startAll(3, 2, nil); err != nil {
+		return nil, err
+	}
+	const id = "5c0e7a21d94b36f8"
+	if err := d.hand(id, []descriptor.Step{step(2, 2000, 1024, 25*time.Second)}, []time.Duration{25 * time.Second}); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second)
+	if s := d.state(id); s != "running" {
+		return nil, fmt.Errorf("job is %q before the change", s)
+	}
+	name := descriptor.QueueID("r-ce7ejsm")
+	if d.trouble {
+		name = "r-zzyyjsg"
+	}
+	if err := d.putConfiguration(9, name); err != nil {
+		return nil, err
+	}
+	d.rec.printf("operator: version 9 of the configuration; the route of %s%s is %s", queueHost, queuePrefix, name)
+	time.Sleep(5 * time.Second)
+	var breaks []string
+	for _, e := range d.entries {
+		status, answer := d.call(e, http.MethodGet, id, "")
+		d.rec.printf("client GET %s%s at %s -> %d %s", queuePrefix, id, e.name, status, answer)
+		if status == http.StatusGone {
+			breaks = append(breaks, fmt.Sprintf("GET of an accepted job that runs is answered 410 by %s", e.name))
+		}
+	}
+	d.recordStarts(10)
+	return breaks, nil
+}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -16,6 +16,7 @@
 	"answer": runAnswer,
 	"burst":  runBurst,
 	"due":    runDue,
+	"rename": runRename,
 	"spec":   runSpec,
 }
 
