--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
 	exit 2
 fi
 export TROUBLE="${TROUBLE:-1}"
-exec timeout -k 5 115 target/review-standin rename review/4/record.txt
+exec timeout -k 5 115 target/review-standin answer review/4/record.txt
