agent: a start with an unanswered try is never refused, only unknown

What callers saw: a task was started a third time after two failed runs with max_attempts 2 (BUDGET), and a task that was done ran once more (TWICE).

Cause: a start is carried out and its answer lost; the run ends before the agent repeats the start, and the worker refuses the second try as "old" because this very run has ended. The agent passed that on as a refusal of the attempt, so the leader placed the next one, and the end that was listed later belonged to no attempt and was not counted.

Why this works: any refusal after an unanswered try is unknown.

Ruled out: a fault of the planner alone. With the attempt kept, the end is counted by the code as it was.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -478,8 +478,9 @@
 	if errors.Is(err, ErrOtherIncarnation) || errors.Is(err, ErrNoProcess) {
 		result.Refused = descriptor.RefusedIncarnation
 	}
-	if unanswered && result.Refused != descriptor.RefusedDeadline && result.Refused != descriptor.RefusedStaleAttempt {
-		// An earlier try may still take effect until its deadline.
+	if unanswered {
+		// An earlier try may have taken effect, or may do so until its deadline. That the worker refuses the attempt as
+		// stale may mean that it has already ended; the worker's lists tell.
 		result.Refused = ""
 	}
 	return result
