planner: an end that is acknowledged counts for its task

Cause: handleEnd dropped the end of any attempt but the current one of its task, while recordedSeq rose, so that the end was acknowledged uncounted.

Why this works: a success completes its task whichever attempt it belongs to, and the next plan stops a newer attempt. A failure counts if the attempt was given up without an end; GivenUp in the stored progress tells that apart from a failure that was counted and is listed again, also after a change of leader. The field is optional: older documents are read as before, and older programs skip it.

Ruled out: counting every late failure. A successor gets listed ends again that its predecessor recorded and did not get to acknowledge; they would count twice (covered by the test).

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -67,7 +67,8 @@
 	return orders
 }
 
-// stopUnwanted marks a cancelled workload as such, and stops attempts of ended workloads and of incomplete gangs.
+// stopUnwanted marks a cancelled workload as such, and stops attempts of ended workloads, of tasks that are done and of
+// incomplete gangs.
 func (c *Core) stopUnwanted(j *job, now time.Time) []Order {
 	if j.record.Cancelled && j.nonfinal() {
 		c.setState(j, JobCancelled)
@@ -79,6 +80,10 @@
 			orders = append(orders, c.orderStop(r, now, causeEnded, "workload has ended: "+j.progress.State.String())...)
 			continue
 		}
+		if j.taskDone(id) {
+			orders = append(orders, c.orderStop(r, now, causeEnded, "task is done: an earlier attempt has succeeded")...)
+			continue
+		}
 		if j.step(id.Step).Gang && c.gangIncomplete(j, r) {
 			orders = append(orders, c.orderStop(r, now, r.gangCause(), "another gang member has ended or was lost")...)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -402,6 +402,15 @@
 	return !slices.ContainsFunc(o.Steps[s], func(t Task) bool { return t.State != TaskDone })
 }
 
+// taskDone reports whether a task has succeeded.
+func (j *job) taskDone(id descriptor.TaskID) bool {
+	o := j.occurrence(id.Occurrence)
+	if o == nil {
+		return false
+	}
+	return o.Done || o.Steps != nil && o.Steps[id.Step] != nil && o.Steps[id.Step][id.Index].State == TaskDone
+}
+
 // stepReady reports whether all steps that step s depends on are done.
 func (j *job) stepReady(k, s int) bool {
 	for _, a := range j.step(s).After {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"persimmontrail/pkg/descriptor"
@@ -703,3 +704,99 @@
 	f.advance(time.Second)
 	assert.Equal(t, len(f.runningNodes("long")), 3)
 }
+
+// givenUpAttempt starts the only task of a workload and gives its first attempt up, as if the worker's process were gone.
+// It returns the node and the attempt.
+func givenUpAttempt(f *fixture) (string, descriptor.AttemptID) {
+	f.t.Helper()
+	f.submit("job", 1, 1, 5*time.Second, func(w *descriptor.Workload) { w.MaxAttempts = 2 })
+	f.planAndApply()
+	node, first := f.attemptOf("job", 0)
+	f.core.RemoveNode(node, f.now, "test")
+	delete(f.running[node], first)
+	return node, first
+}
+
+// takeOver replaces the fixture's core by one that has loaded the stored documents of the only workload.
+func takeOver(t *testing.T, f *fixture) {
+	t.Helper()
+	j := f.core.jobs["job"]
+	var stored Progress
+	data, err := cbor.Marshal(j.progress)
+	assert.NilError(t, err)
+	assert.NilError(t, cbor.Unmarshal(data, &stored))
+	record := j.record
+	f.core = New(f.core.Limits)
+	f.core.Load(record, stored, f.now)
+}
+
+// TestFailureAfterGivingUpCounts guards against a run beyond MaxAttempts because the failure of an attempt that had been
+// given up was acknowledged and not counted, and against counting one failure twice.
+func TestFailureAfterGivingUpCounts(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		f := newFixture(t, 1)
+		node, first := givenUpAttempt(f)
+		f.reportNode(node)
+		f.planAndApply()
+		secondNode, second := f.attemptOf("job", 0)
+		assert.Equal(t, second.Attempt, 2)
+		if newLeader {
+			takeOver(t, f)
+		}
+		f.endAttempt(node, first, descriptor.OutcomeFailed)
+		f.reportAll()
+		assert.Equal(t, firstTask(f.core, "job").FailedAttempts, 1)
+		takeOver(t, f)
+		f.reportAll()
+		assert.Equal(t, firstTask(f.core, "job").FailedAttempts, 1, "a listed end that is recorded counts once")
+		assert.Equal(t, f.jobState("job"), JobRunning)
+		f.endAttempt(secondNode, second, descriptor.OutcomeFailed)
+		f.reportAll()
+		f.planAndApply()
+		assert.Equal(t, f.jobState("job"), JobFailed)
+		assert.Equal(t, len(f.runningNodes("job")), 0)
+	}
+}
+
+// TestSuccessAfterGivingUpCounts guards against a task that runs on, or again, although an attempt that had been given up
+// was listed as successful and acknowledged.
+func TestSuccessAfterGivingUpCounts(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		f := newFixture(t, 1)
+		node, first := givenUpAttempt(f)
+		if restarted {
+			f.reportNode(node)
+			f.planAndApply()
+			assert.Equal(t, len(f.runningNodes("job")), 1)
+		}
+		f.endAttempt(node, first, descriptor.OutcomeDone)
+		f.reportAll()
+		f.planAndApply()
+		f.reportAll()
+		assert.Equal(t, f.jobState("job"), JobDone)
+		assert.Equal(t, len(f.runningNodes("job")), 0, "the newer attempt is stopped")
+		assert.DeepEqual(t, f.core.FinishedJobs(), []descriptor.JobID{"job"})
+	}
+}
+
+// TestGangFailureAfterGivingUpCountsOnce guards against counting the failure of a gang that had been given up once for
+// each of its members, which would end the workload before its last attempt.
+func TestGangFailureAfterGivingUpCountsOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("job", 3, 8, 5*time.Second, gang, func(w *descriptor.Workload) { w.MaxAttempts = 2 })
+	f.planAndApply()
+	var nodes []string
+	var members []descriptor.AttemptID
+	for i := range 3 {
+		node, id := f.attemptOf("job", i)
+		nodes, members = append(nodes, node), append(members, id)
+	}
+	for i, node := range nodes {
+		f.core.RemoveNode(node, f.now, "test")
+		f.endAttempt(node, members[i], descriptor.OutcomeFailed)
+	}
+	f.reportAll()
+	assert.Equal(t, firstTask(f.core, "job").FailedAttempts, 1)
+	f.advance(2 * suspectWait)
+	assert.Equal(t, len(f.runningNodes("job")), 3, "the second attempt runs")
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -153,4 +153,20 @@
 	// Change is the number of the write within the leader's term.
 	Change      int64
 	Occurrences map[int]*Occurrence `cbor:",omitempty"`
+	// GivenUp holds the attempts of tasks that are not done which were given up without a listed end. If a worker lists
+	// the end of one after all, it counts like any other.
+	GivenUp []TaskAttempt `cbor:",omitempty"`
+}
+
+// TaskAttempt identifies an attempt of one workload.
+type TaskAttempt struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Attempt    int
+}
+
+func taskAttemptOf(id descriptor.AttemptID) TaskAttempt {
+	return TaskAttempt{Occurrence: id.Task.Occurrence, Step: id.Task.Step, Index: id.Task.Index, Attempt: id.Attempt}
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -160,7 +160,7 @@
 		!r.confirmed && o.Clock > r.startDeadline:
 		// The worker has answered a stop, no longer lists an attempt that is not placed there, or can no longer carry out
 		// an unanswered start.
-		c.removeAttempt(r, o.Received, "not listed by the worker")
+		c.giveUp(r, o.Received, "not listed by the worker")
 	case r.confirmed && o.Clock > r.lastListed:
 		// A worker lists an attempt until its end is acknowledged, so the report that confirmed this attempt must have
 		// come from another incarnation.
@@ -239,7 +239,9 @@
 	if w == nil {
 		return
 	}
-	c.removeAttempts(w, now, reason)
+	for _, r := range w.sortedAttempts() {
+		c.giveUp(r, now, reason)
+	}
 	w.statusKnown = false
 }
 
@@ -254,11 +256,14 @@
 	return names
 }
 
-// removeAttempts removes all attempts of a worker; none of them may still be running.
-func (c *Core) removeAttempts(w *worker, now time.Time, reason string) {
-	for _, r := range w.attempts {
-		c.removeAttempt(r, now, reason)
+// giveUp removes an attempt that is not running any more although its end was not listed. The worker may list the end
+// later, so the attempt is noted in GivenUp.
+func (c *Core) giveUp(r *attempt, now time.Time, reason string) {
+	if r.current() && r.job.nonfinal() && !r.job.taskDone(r.id.Task) && !r.job.step(r.id.Task.Step).Service {
+		r.job.progress.GivenUp = append(r.job.progress.GivenUp, taskAttemptOf(r.id))
+		c.dirty[r.job.id()] = true
 	}
+	c.removeAttempt(r, now, reason)
 }
 
 // removeAttempt removes an attempt that is not running any more. Its task becomes pending again, unless it has ended
@@ -270,6 +275,9 @@
 		return
 	}
 	delete(r.job.activeAttempts, r.id.Task)
+	if r.job.taskDone(r.id.Task) {
+		return
+	}
 	t := r.job.task(r.id.Task)
 	if t.State == TaskPlaced && t.Attempt == r.id.Attempt {
 		c.noteDiscarded(r, causeWorkerLost, now)
@@ -332,9 +340,8 @@
 	}
 }
 
-// handleEnd processes an ended attempt that a worker reported. Its room is freed, and its task becomes pending or, after
-// a success, done; tasks of service steps always become pending. The end of an attempt other than the current one of
-// its task leaves the task unchanged.
+// handleEnd processes an ended attempt that a worker reported, before the end may be acknowledged. Its room is freed, and
+// its task becomes pending or, after a success, done; tasks of service steps always become pending.
 func (c *Core) handleEnd(w *worker, e descriptor.AttemptEnd, now time.Time) {
 	c.planNeeded = true
 	r := w.attempts[e.AttemptID]
@@ -343,8 +350,15 @@
 	if j == nil || !j.has(e.Task) {
 		return
 	}
+	if r != nil && r.current() {
+		delete(j.activeAttempts, e.Task)
+	}
+	if j.taskDone(e.Task) {
+		return
+	}
 	t := j.task(e.Task)
 	if t.State != TaskPlaced || t.Attempt != e.Attempt {
+		c.handleLateEnd(w, j, e, t, now)
 		return
 	}
 	c.logEvent("attempt ended", j.id(), "task", e.Task, "run", e.Attempt, "node", w.node, "outcome", e.Outcome,
@@ -352,9 +366,6 @@
 	if r != nil && e.Outcome != descriptor.OutcomeDone {
 		c.noteDiscarded(r, causeOfOutcome[e.Outcome], now)
 	}
-	if j.activeAttempts[e.Task] == r {
-		delete(j.activeAttempts, e.Task)
-	}
 	c.dirty[j.id()] = true
 	t.State = TaskPending
 	if e.Checkpoint != "" {
@@ -377,6 +388,46 @@
 	}
 }
 
+// handleLateEnd processes the end of an attempt that is not the current one of its task, which is not done. A success
+// completes the task, whichever attempt it belongs to. A failure counts only if the attempt was given up: otherwise it was
+// counted before, and is listed again because its acknowledgement was lost or a former leader recorded it.
+func (c *Core) handleLateEnd(w *worker, j *job, e descriptor.AttemptEnd, t *Task, now time.Time) {
+	if !j.nonfinal() || j.step(e.Task.Step).Service || e.Attempt > t.Attempt {
+		return
+	}
+	givenUp := j.takeGivenUp(e.AttemptID)
+	if e.Outcome != descriptor.OutcomeDone && !(givenUp && e.Outcome == descriptor.OutcomeFailed) {
+		return
+	}
+	c.logEvent("attempt ended after it was given up", j.id(), "task", e.Task, "run", e.Attempt, "node", w.node, "outcome", e.Outcome,
+		"fails", t.FailedAttempts, "newest", t.Attempt)
+	c.dirty[j.id()] = true
+	if e.Outcome == descriptor.OutcomeFailed {
+		c.handleFailed(j, e, t, w, now)
+		return
+	}
+	tasks := j.tasks(e.Task.Occurrence, e.Task.Step)
+	for i := range tasks {
+		if i == e.Task.Index || j.step(e.Task.Step).Gang {
+			tasks[i].markDone()
+		}
+	}
+	// The next plan stops a newer attempt.
+	c.completeOccurrence(j, e.Task.Occurrence)
+}
+
+// takeGivenUp removes an attempt from GivenUp, with all other members of its gang, and reports whether it was there.
+func (j *job) takeGivenUp(id descriptor.AttemptID) bool {
+	x := taskAttemptOf(id)
+	found := slices.Contains(j.progress.GivenUp, x)
+	if found {
+		j.progress.GivenUp = slices.DeleteFunc(j.progress.GivenUp, func(o TaskAttempt) bool {
+			return o == x || j.step(x.Step).Gang && o.Occurrence == x.Occurrence && o.Step == x.Step && o.Attempt == x.Attempt
+		})
+	}
+	return found
+}
+
 // lastPercent returns the last reported progress of an attempt, or -1 when r is nil.
 func lastPercent(r *attempt) int {
 	if r == nil {
@@ -407,6 +458,9 @@
 			}
 		}
 	}
+	j.progress.GivenUp = slices.DeleteFunc(j.progress.GivenUp, func(o TaskAttempt) bool {
+		return j.taskDone(descriptor.TaskID{Job: j.id(), Occurrence: o.Occurrence, Step: o.Step, Index: o.Index})
+	})
 	c.completeOccurrence(j, e.Task.Occurrence)
 }
 
@@ -418,6 +472,7 @@
 		}
 	}
 	*j.occurrence(k) = Occurrence{Done: true}
+	j.progress.GivenUp = slices.DeleteFunc(j.progress.GivenUp, func(o TaskAttempt) bool { return o.Occurrence == k })
 	for i := range j.record.Workload.Occurrences() {
 		if o := j.occurrence(i); o == nil || !o.Done {
 			return
