leader: what arrives during a round counts before its starts are checked

Cause: a round holds the term's goroutine for plan and write, and reports wait in its inbox. If that takes longer than 1.5 s, StartAllowed finds every report too old, drops all starts, and the next round does the same.

Why this works: the inbox is handled between the write and the check, so a start is judged by the newest report that has arrived, however long the round took. Ends are acknowledged before the inbox is handled, since what the planner has recorded then is exactly what was written.

Ruled out: a larger maxReportAge. It would only move the size at which this begins.

CallAgent is the seam for tests without network.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -26,6 +26,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"persimmontrail/internal/agent"
 	"persimmontrail/internal/archiver"
 	"persimmontrail/internal/planner"
 	"persimmontrail/internal/recorder"
@@ -79,6 +80,8 @@
 	// EndedRetention is how long ended workloads stay readable, counted from when the current leader first saw them as
 	// ended.
 	EndedRetention time.Duration
+	// CallAgent makes one call to the agent at an address; nil means HTTP.
+	CallAgent func(ctx context.Context, address string, message agent.SyncRequest) (agent.Report, error)
 	// BootTime returns the time since the start of the VM, including suspensions; nil means timekeeper.BootTime.
 	BootTime func() time.Duration
 	Log      *log.Logger
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -416,3 +416,57 @@
 	assert.Assert(t, !agentLink.holdExpired(reportedAt.Add(11*time.Second)))
 	assert.Assert(t, agentLink.holdExpired(reportedAt.Add(11500*time.Millisecond)))
 }
+
+// TestReportsDuringRoundKeepStartsAllowed guards against a leader that never starts anything: its rounds take longer than
+// the age at which a report is too old for a start, the reports that arrive meanwhile wait until the round has dropped its
+// starts, and the next round does the same. Ends in such a report must not be acknowledged before they are stored.
+func TestReportsDuringRoundKeepStartsAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		leaderTerm := newLeaderTerm(t, store)
+		leaderTerm.linkCtx = t.Context()
+		var mu sync.Mutex
+		var calls []agent.SyncRequest
+		leaderTerm.leader.CallAgent = func(_ context.Context, _ string, s agent.SyncRequest) (agent.Report, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			calls = append(calls, s)
+			return agent.Report{}, io.EOF
+		}
+		agentLink := &link{term: leaderTerm, node: "n", waitingSince: leaderTerm.startedAt}
+		leaderTerm.links["n"] = agentLink
+		leaderTerm.core.Submit(recordOf("done", descriptor.Step{Count: 1}), time.Now())
+		report := func(clock descriptor.WorkerClock, ended ...descriptor.AttemptEnd) {
+			o := observationOf(clock, nil, ended)
+			leaderTerm.handleReport(agentLink, agent.Report{
+				Node: "n", Fence: leaderTerm.fence, HasStatus: true, ListsCurrent: true, Status: o.Status, Clock: clock, Ended: ended,
+			}, time.Now())
+		}
+		report(1)
+		assert.NilError(t, leaderTerm.runRound(t.Context()))
+		synctest.Wait()
+		assert.Equal(t, len(calls), 1)
+		first := calls[0].Starts[0].AttemptID
+		leaderTerm.core.Submit(recordOf("k", descriptor.Step{Count: 1}), time.Now())
+
+		commit := leaderTerm.leader.Store.Commit
+		leaderTerm.leader.Store.Commit = func(ctx context.Context, txn archiver.Txn) (archiver.Revision, error) {
+			time.Sleep(3 * time.Second)
+			leaderTerm.post(func() { report(3000, descriptor.AttemptEnd{Seq: 1, AttemptID: first, Outcome: descriptor.OutcomeDone}) })
+			return commit(ctx, txn)
+		}
+		calls = nil
+		assert.NilError(t, leaderTerm.runRound(t.Context()))
+		synctest.Wait()
+		assert.Equal(t, len(calls), 1)
+		assert.Equal(t, len(calls[0].Starts), 1, "the report that arrived during the write allows the start")
+		assert.Equal(t, calls[0].AckedSeq, int64(0), "the end is not stored yet")
+
+		leaderTerm.leader.Store.Commit = commit
+		calls = nil
+		assert.NilError(t, leaderTerm.runRound(t.Context()))
+		synctest.Wait()
+		assert.Equal(t, len(calls), 1)
+		assert.Equal(t, calls[0].AckedSeq, int64(1))
+	})
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -197,17 +197,24 @@
 // call sends a message to the agent and returns its report. It sends nothing once the term's lease may have expired, which
 // a process that was paused may not have noticed yet.
 func (l *link) call(ctx context.Context, message agent.SyncRequest, timeout time.Duration) (agent.Report, error) {
-	var report agent.Report
 	if l.term.leaseExpired() {
-		return report, errLeaseExpired
+		return agent.Report{}, errLeaseExpired
 	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if callAgent := l.term.leader.CallAgent; callAgent != nil {
+		return callAgent(callCtx, l.address, message)
+	}
+	return callByHTTP(callCtx, l.address, message)
+}
+
+func callByHTTP(ctx context.Context, address string, message agent.SyncRequest) (agent.Report, error) {
+	var report agent.Report
 	body, err := cbor.Marshal(message)
 	if err != nil {
 		return report, err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(callCtx, http.MethodPost, "http://"+l.address+agent.SyncPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+agent.SyncPath, bytes.NewReader(body))
 	if err != nil {
 		return report, err
 	}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -99,12 +99,15 @@
 	}
 }
 
-func (t *term) takeInbox() []func() {
+// handleInbox calls the posted functions.
+func (t *term) handleInbox() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	functions := t.inbox
 	t.inbox = nil
-	return functions
+	t.mu.Unlock()
+	for _, f := range functions {
+		f()
+	}
 }
 
 // run loads the documents and schedules until ctx is done or the term is lost. The error is never nil and says why the
@@ -124,9 +127,7 @@
 		case <-t.wakeup:
 		case <-timer.C:
 		}
-		for _, f := range t.takeInbox() {
-			f()
-		}
+		t.handleInbox()
 		if wait := t.minRoundDelay(); wait > 0 {
 			timer.Reset(wait)
 			continue
@@ -300,7 +301,9 @@
 	t.core.SetExcludedDomains(s.ExcludedDomains)
 }
 
-// runRound makes one round of scheduling decisions, stores the changed progress, then sends the orders.
+// runRound makes one round of scheduling decisions, stores the changed progress, then sends the orders. Plan and write may
+// take longer than the age at which a report is too old for a start, so what has arrived meanwhile is handled before the
+// orders are checked and sent.
 func (t *term) runRound(ctx context.Context) error {
 	start := time.Now()
 	t.lastRound = start
@@ -315,14 +318,25 @@
 		}
 		t.leader.Metrics.ObserveDuration("write_seconds", time.Since(start))
 	}
+	t.acknowledgeEnds()
+	t.handleInbox()
 	t.sendOrders(orders, time.Now())
 	t.removeEnded(ctx, start)
 	t.logDiscarded(start)
 	return nil
 }
 
-// sendOrders sends the orders and acknowledges the ended attempts that are durably recorded. Starts that are no longer
-// allowed are dropped and count as refused; orders to nodes without a link are not sent.
+// acknowledgeEnds acknowledges the ended attempts that the planner has recorded. It must be called when the progress is
+// durable, before further reports reach the planner.
+func (t *term) acknowledgeEnds() {
+	for node, l := range t.links {
+		incarnation, recordedSeq := t.core.RecordedSeq(node)
+		l.acknowledge(incarnation, recordedSeq)
+	}
+}
+
+// sendOrders sends the orders. Starts that are no longer allowed are dropped and count as refused; orders to nodes
+// without a link are not sent.
 func (t *term) sendOrders(orders []planner.Order, now time.Time) {
 	batches := map[string]*agent.SyncRequest{}
 	batch := func(o planner.Order) *agent.SyncRequest {
@@ -361,10 +375,6 @@
 	for node, b := range batches {
 		t.links[node].send(*b)
 	}
-	for node, l := range t.links {
-		incarnation, recordedSeq := t.core.RecordedSeq(node)
-		l.acknowledge(incarnation, recordedSeq)
-	}
 }
 
 // logOrder logs and counts an order. kind is the log message and the value of the metric label.
