planner: a plan costs time in proportion to the tasks

Cause: objective, value and critical path of an occurrence were computed for each ready step, over all steps. BenchmarkLargeWorkloads, which plays every shape of 4,096 tasks that is accepted, showed the same class of cost in five more places: searches for room for each urgent step, placing of equal gangs and of overlapping occurrences, and for each member of a gang a walk over all members in plan and report.

Why this works: what the steps of an occurrence share is computed once. Room only becomes less within a plan, so that equal demands are tried once. Searches go on with the next groups in the next plan. The presence of a gang is cached until its attempts change. Ties are broken by number and not by text.

Ruled out: a limit on steps at acceptance, which would refuse what the pages allow; and one bound on the time of a plan, which equal inputs would not repeat.

--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -18,8 +18,8 @@
 
 // forecast returns how long it takes until n tasks fit into a pool without preemption, and where. It counts room that
 // is not earmarked, attempts that are being stopped and the expected ends of the others, except for service tasks. The
-// time is StopGrace when no other attempt has to end. The placement is nil when the tasks never fit.
-func (p *pass) forecast(g group, pool []*worker, need descriptor.Capacity, n int) (time.Duration, placement) {
+// time is StopGrace when no other attempt has to end. The placement is nil when the tasks do not fit within limit.
+func (p *pass) forecast(g group, pool []*worker, need descriptor.Capacity, n int, limit time.Duration) (time.Duration, placement) {
 	step := g.job.step(g.step)
 	free := map[*worker]descriptor.Capacity{}
 	room := func(w *worker) descriptor.Capacity { return free[w] }
@@ -32,7 +32,9 @@
 		free[w] = p.room[w].Plus(p.releasing[w])
 		for _, r := range w.attempts {
 			if !r.stopping && r.job != nil && !r.job.step(r.id.Task.Step).Service {
-				endings = append(endings, ending{r, p.core.remainingRunTime(r, p.now)})
+				if remaining := p.core.remainingRunTime(r, p.now); remaining <= limit {
+					endings = append(endings, ending{r, remaining})
+				}
 			}
 		}
 	}
@@ -40,7 +42,7 @@
 		return p.core.Limits.StopGrace, ws
 	}
 	slices.SortFunc(endings, func(a, b ending) int {
-		return cmp.Or(cmp.Compare(a.remaining, b.remaining), cmp.Compare(a.attempt.id.Task.String(), b.attempt.id.Task.String()))
+		return cmp.Or(cmp.Compare(a.remaining, b.remaining), a.attempt.id.Task.Compare(b.attempt.id.Task))
 	})
 	for _, e := range endings {
 		free[e.attempt.worker] = free[e.attempt.worker].Plus(e.attempt.need)
@@ -74,7 +76,7 @@
 	var best placement
 	var bestWait time.Duration
 	for _, pool := range pools {
-		wait, ws := p.forecast(g, pool, need, n)
+		wait, ws := p.forecast(g, pool, need, n, limit)
 		if ws == nil {
 			continue
 		}
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -35,6 +35,16 @@
 	withinGuarantee map[descriptor.JobID]bool
 	// candidateCache caches the candidates of the groups in this pass.
 	candidateCache map[candidateKey]*candidates
+	// noRoom holds the demands for which no worker has room left in this pass, in which room only becomes less.
+	noRoom map[demand]bool
+	// searches holds, by workload, the searches for room to be freed.
+	searches map[*job]*searches
+	// searchLimit is the number of searches that the pass makes for one workload.
+	searchLimit int
+	// started is the number of tasks that the pass has started.
+	started int
+	// stepCounts caches the number of attempts on a worker by step.
+	stepCounts map[*worker]map[jobStep]int
 	// reservedWorkers are kept free for urgent work and service tasks.
 	reservedWorkers map[*worker]bool
 	// reserveEnforced is true when other work may not use reservedWorkers, however long it waits.
@@ -44,14 +54,18 @@
 // newPass returns a pass over the workers that are usable now.
 func (c *Core) newPass(now time.Time) *pass {
 	p := &pass{core: c, now: now, room: map[*worker]descriptor.Capacity{}, releasing: map[*worker]descriptor.Capacity{}}
+	attempts := 0
 	for _, w := range c.sortedWorkers() {
 		if c.usable(w, now) {
+			attempts += len(w.attempts)
 			p.fleet = append(p.fleet, w)
 			p.room[w] = w.free()
 			p.releasing[w] = w.stoppingCapacity()
 		}
 	}
 	p.withinGuarantee, p.candidateCache = c.jobsWithinGuarantee(), map[candidateKey]*candidates{}
+	p.searchLimit = min(max(searchedAttempts/max(attempts, 1), minSearches), maxSearches)
+	p.noRoom, p.searches, p.stepCounts = map[demand]bool{}, map[*job]*searches{}, map[*worker]map[jobStep]int{}
 	p.reservedWorkers, p.reserveEnforced = p.selectReserved(), p.fleetBusy()
 	return p
 }
@@ -59,6 +73,10 @@
 // place starts a group, or those of its independent tasks for which there is room. For an urgent group without room it
 // earmarks room that is about to be free, or preempts other work. A claim that can no longer be used is dropped.
 func (p *pass) place(g group) []Order {
+	d := p.demandOf(g)
+	if g.claim == nil && p.noRoom[d] && (g.level > levelUrgent || p.searchedInVain(g, d)) {
+		return nil
+	}
 	eligible := p.eligible(g)
 	if g.claim != nil {
 		orders, ok := p.placeClaimed(g, eligible)
@@ -68,9 +86,9 @@
 		g.job.claim, g.claim = nil, nil
 	}
 	if g.job.step(g.step).Gang {
-		return p.placeGang(g, eligible)
+		return p.placeGang(g, d, eligible)
 	}
-	return p.placeTasks(g, eligible)
+	return p.placeTasks(g, d, eligible)
 }
 
 // placement is one worker for each task of a group, in the order of the group's indexes.
@@ -78,7 +96,7 @@
 
 // placeTasks starts as many tasks of a group as there is room for. For the rest, urgent groups may earmark room or
 // preempt.
-func (p *pass) placeTasks(g group, eligible []*worker) []Order {
+func (p *pass) placeTasks(g group, d demand, eligible []*worker) []Order {
 	step := g.job.step(g.step)
 	need := step.Need()
 	c := p.candidates(g)
@@ -90,14 +108,22 @@
 	}
 	var orders []Order
 	for _, i := range g.indexes {
-		w := p.bestWorker(g, step, eligible, need)
+		var w *worker
+		if !p.noRoom[d] {
+			w = p.bestWorker(g, step, eligible, need)
+		}
 		if w == nil && unconstrained {
 			c.unplaceableSizes = append(c.unplaceableSizes, need)
 			break
 		}
 		if w == nil {
-			w = p.earmarkOrPreempt(g, step, eligible, need, &orders)
-			if w == nil {
+			// Workers at the limit of one step may have room for another one.
+			p.noRoom[d] = step.MaxPerWorker == 0
+			if !p.maySearch(g, d) {
+				break
+			}
+			if w = p.earmarkOrPreempt(g, step, eligible, need, &orders); w == nil {
+				p.noteVainSearch(g, d)
 				break
 			}
 			continue
@@ -145,18 +171,26 @@
 	if step.MaxPerWorker == 0 {
 		return false
 	}
-	return p.attemptsOn(g, w) >= step.MaxPerWorker
+	return p.attemptsByStep(w)[jobStep{g.job.id(), g.occurrence, g.step}] >= step.MaxPerWorker
+}
+
+// jobStep identifies a step of an occurrence of any workload.
+type jobStep struct {
+	job              descriptor.JobID
+	occurrence, step int
 }
 
-// attemptsOn returns the number of attempts of the group's step and occurrence on w.
-func (p *pass) attemptsOn(g group, w *worker) int {
-	n := 0
-	for id := range w.attempts {
-		if t := id.Task; t.Job == g.job.id() && t.Occurrence == g.occurrence && t.Step == g.step {
-			n++
+// attemptsByStep returns the number of attempts on w by step. startTasks keeps it up to date.
+func (p *pass) attemptsByStep(w *worker) map[jobStep]int {
+	counts := p.stepCounts[w]
+	if counts == nil {
+		counts = map[jobStep]int{}
+		for id := range w.attempts {
+			counts[jobStep{id.Task.Job, id.Task.Occurrence, id.Task.Step}]++
 		}
+		p.stepCounts[w] = counts
 	}
-	return n
+	return counts
 }
 
 // freeFractionSum returns the sum of left/total over cores, memory and accelerators, without those of which total is 0.
@@ -215,7 +249,7 @@
 
 // placeGang starts all tasks of a gang or none. For an urgent gang without room it earmarks room or preempts other
 // work. A SameRack gang is spread over racks after rackWait, or at once when no rack could hold it even if empty.
-func (p *pass) placeGang(g group, eligible []*worker) []Order {
+func (p *pass) placeGang(g group, d demand, eligible []*worker) []Order {
 	step := g.job.step(g.step)
 	need, n := step.Need(), len(g.indexes)
 	pools := p.pools(step, eligible)
@@ -223,10 +257,13 @@
 	for _, pool := range pools {
 		fitsWhenEmpty = fitsWhenEmpty || p.tasksWhenEmpty(pool, need, step) >= n
 	}
-	if ws := p.bestPlacement(g, step, pools, need, n, false); ws != nil {
-		return p.startTasks(g, g.indexes, ws, "room free")
+	if !p.noRoom[d] {
+		if ws := p.bestPlacement(g, step, pools, need, n, false); ws != nil {
+			return p.startTasks(g, g.indexes, ws, "room free")
+		}
 	}
-	if g.level <= levelUrgent && fitsWhenEmpty {
+	maySearch := g.level <= levelUrgent && p.maySearch(g, d)
+	if maySearch && fitsWhenEmpty {
 		if ws := p.bestPlacement(g, step, pools, need, n, true); ws != nil {
 			p.earmark(ws, need)
 			return nil
@@ -237,19 +274,28 @@
 		if orders := p.preemptForGang(g, step, pools, need, n); orders != nil {
 			return orders
 		}
+		p.noteVainSearch(g, d)
 	}
 	if !step.SameRack {
+		p.noRoom[d] = true
 		return nil
 	}
 	if fitsWhenEmpty && p.now.Sub(g.job.waitingSince) < p.rackWait(g) {
 		p.core.planBy(g.job.waitingSince.Add(p.rackWait(g)))
+		p.noRoom[d] = true
 		return nil
 	}
-	if ws := p.fill(g, step, eligible, need, n, false); ws != nil {
-		return p.startTasks(g, g.indexes, ws, "no rack has room; spread over racks")
+	if !p.noRoom[d] {
+		if ws := p.fill(g, step, eligible, need, n, false); ws != nil {
+			return p.startTasks(g, g.indexes, ws, "no rack has room; spread over racks")
+		}
 	}
-	if g.level <= levelUrgent && !fitsWhenEmpty {
-		return p.preemptForGang(g, step, [][]*worker{eligible}, need, n)
+	p.noRoom[d] = true
+	if maySearch && !fitsWhenEmpty {
+		if orders := p.preemptForGang(g, step, [][]*worker{eligible}, need, n); orders != nil {
+			return orders
+		}
+		p.noteVainSearch(g, d)
 	}
 	return nil
 }
@@ -408,6 +454,9 @@
 		r := c.addAttempt(j, id, t, w, p.now)
 		r.startDeadline = noStartDeadline
 		p.room[w] = p.room[w].Minus(r.need)
+		if counts := p.stepCounts[w]; counts != nil {
+			counts[jobStep{j.id(), g.occurrence, g.step}]++
+		}
 		orders = append(orders, Order{
 			Node: w.node, Incarnation: w.incarnation, Attempt: r.id, Spec: j.record.Workload.Spec, Checkpoint: t.Checkpoint,
 			Reason: fmt.Sprintf("%s; level %d, waited %v, due in %v, report %v old", reason, g.level,
@@ -419,5 +468,6 @@
 		j.progress.State = JobRunning
 	}
 	c.dirty[j.id()] = true
+	p.started += len(indexes)
 	return orders
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -61,9 +61,14 @@
 	c.reserve.update(c.urgentDemand(), now)
 	p := c.newPass(now)
 	for _, g := range c.readyGroups(now, p.withinGuarantee) {
+		if p.started >= maxStarts {
+			c.planBy(now)
+			break
+		}
 		c.currentJob = g.job.id()
 		orders = append(orders, p.place(g)...)
 	}
+	p.rotateSearches()
 	return orders
 }
 
@@ -75,6 +80,7 @@
 		c.logEvent("workload cancelled", j.id())
 	}
 	var orders []Order
+	var incomplete map[gangRun]bool
 	for id, r := range j.activeAttempts {
 		if !j.nonfinal() {
 			orders = append(orders, c.orderStop(r, now, causeEnded, "workload has ended: "+j.progress.State.String())...)
@@ -84,11 +90,22 @@
 			orders = append(orders, c.orderStop(r, now, causeEnded, "task is done: an earlier attempt has succeeded")...)
 			continue
 		}
-		if j.step(id.Step).Gang && c.gangIncomplete(j, r) {
+		if !j.step(id.Step).Gang {
+			continue
+		}
+		isIncomplete, known := incomplete[r.gangRun()]
+		if !known {
+			isIncomplete = c.gangIncomplete(j, r)
+			if incomplete == nil {
+				incomplete = map[gangRun]bool{}
+			}
+			incomplete[r.gangRun()] = isIncomplete
+		}
+		if isIncomplete {
 			orders = append(orders, c.orderStop(r, now, r.gangCause(), "another gang member has ended or was lost")...)
 		}
 	}
-	slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Attempt.Task.String(), b.Attempt.Task.String()) })
+	slices.SortFunc(orders, func(a, b Order) int { return a.Attempt.Task.Compare(b.Attempt.Task) })
 	return orders
 }
 
@@ -165,17 +182,41 @@
 
 // gangPresent reports whether all members of the attempt's gang are confirmed; it is true for single tasks.
 func (r *attempt) gangPresent() bool {
-	id := r.id.Task
-	if !r.job.step(id.Step).Gang {
-		return true
+	return !r.job.step(r.id.Task.Step).Gang || r.job.gangPresence(r.id.Task).complete
+}
+
+// gangPresence says which members of a gang are present.
+type gangPresence struct {
+	// attemptChanges is the value of job.attemptChanges for which the other fields hold.
+	attemptChanges int
+	// complete is true if all members are confirmed.
+	complete bool
+	// lastStarted is when the last member was confirmed.
+	lastStarted time.Time
+}
+
+// gangPresence returns the presence of a task's gang, from the cache if possible.
+func (j *job) gangPresence(id descriptor.TaskID) gangPresence {
+	k := stepOf{id.Occurrence, id.Step}
+	if p, ok := j.gangPresences[k]; ok && p.attemptChanges == j.attemptChanges {
+		return p
 	}
-	for i := range r.job.tasks(id.Occurrence, id.Step) {
+	p := gangPresence{attemptChanges: j.attemptChanges, complete: true}
+	for i := range j.step(id.Step).Count {
 		id.Index = i
-		if m := r.job.activeAttempts[id]; m == nil || !m.confirmed {
-			return false
+		m := j.activeAttempts[id]
+		if m == nil || !m.confirmed {
+			p.complete = false
+		}
+		if m != nil && m.started.After(p.lastStarted) {
+			p.lastStarted = m.started
 		}
 	}
-	return true
+	if j.gangPresences == nil {
+		j.gangPresences = map[stepOf]gangPresence{}
+	}
+	j.gangPresences[k] = p
+	return p
 }
 
 // stalled reports whether an attempt has made no progress for too long. The limit is startStallPercent of the expected
@@ -219,15 +260,7 @@
 
 // gangDelay returns how much later than r the last member of its gang was confirmed.
 func (c *Core) gangDelay(r *attempt) time.Duration {
-	last := r.started
-	id := r.id.Task
-	for i := range r.job.tasks(id.Occurrence, id.Step) {
-		id.Index = i
-		if m := r.job.activeAttempts[id]; m != nil && m.started.After(last) {
-			last = m.started
-		}
-	}
-	return last.Sub(r.started)
+	return max(0, r.job.gangPresence(r.id.Task).lastStarted.Sub(r.started))
 }
 
 // stopOnDraining stops attempts that are expected to end only after their draining worker has left. Draining workers
@@ -260,7 +293,7 @@
 		c.currentJob = j.id()
 		waiting := false
 		openTasks := 0
-		for k := range j.record.Workload.Occurrences() {
+		for k := j.firstOpenOccurrence(); k < j.record.Workload.Occurrences(); k++ {
 			if o := j.occurrence(k); o != nil && o.Done {
 				continue
 			}
@@ -272,15 +305,15 @@
 			if openTasks += j.taskCount(); openTasks > maxOpenTasks && k > 0 {
 				break
 			}
-			for s := range j.record.Workload.Steps {
-				if g, ok := c.readyGroup(j, k, s); ok {
-					g.level = level(j, withinGuarantee)
-					g.objective = c.objective(j, k)
-					g.valueDensity = c.valueDensity(j, k, now)
-					g.claim = j.validClaim(k, s, now)
-					gs = append(gs, g)
-					waiting = true
-				}
+			ready := c.readySteps(j, k)
+			if len(ready) == 0 {
+				continue
+			}
+			waiting = true
+			jobLevel, objective, valueDensity := level(j, withinGuarantee), c.objective(j, k), c.valueDensity(j, k, now)
+			for _, g := range ready {
+				g.level, g.objective, g.valueDensity, g.claim = jobLevel, objective, valueDensity, j.validClaim(k, g.step, now)
+				gs = append(gs, g)
 			}
 		}
 		if !waiting {
@@ -303,12 +336,29 @@
 	return min(g.level, levelUrgent)
 }
 
-// readyGroup returns the waiting tasks of a step. It reports false when the steps that it depends on are not done, when
-// no task is waiting, or when the step is a gang of which some members still have attempts.
-func (c *Core) readyGroup(j *job, k, s int) (group, bool) {
-	if j.stepDone(k, s) || !j.stepReady(k, s) {
-		return group{}, false
+// readySteps returns the waiting tasks of each step of occurrence k that is ready to start.
+func (c *Core) readySteps(j *job, k int) []group {
+	var gs []group
+	done := j.doneSteps(k)
+	isDone := func(s int) bool { return done[s] }
+	for s := range done {
+		if done[s] || !allOf(j.step(s).After, isDone) {
+			continue
+		}
+		if g, ok := c.readyGroup(j, k, s); ok {
+			gs = append(gs, g)
+		}
 	}
+	return gs
+}
+
+func allOf(steps []int, f func(int) bool) bool {
+	return !slices.ContainsFunc(steps, func(s int) bool { return !f(s) })
+}
+
+// readyGroup returns the waiting tasks of a step whose dependencies are done. It reports false when no task is waiting, or
+// when the step is a gang of which some members still have attempts.
+func (c *Core) readyGroup(j *job, k, s int) (group, bool) {
 	tasks := j.tasks(k, s)
 	g := group{job: j, occurrence: k, step: s}
 	for i := range tasks {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -109,6 +109,14 @@
 	sampledSteps map[int]bool
 	// stepRunTimes holds, by step, the run times projected from the progress of its tasks.
 	stepRunTimes map[int]*observedRunTimes
+	// attemptChanges counts the changes of activeAttempts and of which attempts are confirmed.
+	attemptChanges int
+	// gangPresences caches, by occurrence and step, the presence of gangs.
+	gangPresences map[stepOf]gangPresence
+	// firstOpen is the first occurrence that is not known to be done.
+	firstOpen int
+	// failedSteps is the set of steps of which attempts have failed.
+	failedSteps map[int]bool
 	// gangEnds says why gangs of the workload ended that did not succeed.
 	gangEnds map[gangRun]discardCause
 	// claim is the room freed for the workload by preemption; nil when there is none.
@@ -118,6 +126,14 @@
 	// waitingSince is the time of the first plan that found tasks of the workload ready to start. A plan that finds
 	// none resets it to zero.
 	waitingSince time.Time
+	// searchStart is the number of groups whose searches for room to be freed are skipped in the next plan, since earlier
+	// plans made them; see pass.searchLimit.
+	searchStart int
+}
+
+// stepOf identifies a step of an occurrence of one workload.
+type stepOf struct {
+	occurrence, step int
 }
 
 // stepWorker identifies the attempts of a step on a worker.
@@ -232,10 +248,17 @@
 		placed: now, checkpoint: t.Checkpoint, checkpointAt: now,
 	}
 	j.activeAttempts[id] = r
+	j.attemptChanges++
 	w.attempts[r.id] = r
 	return r
 }
 
+// dropActive removes the current attempt of a task.
+func (j *job) dropActive(id descriptor.TaskID) {
+	delete(j.activeAttempts, id)
+	j.attemptChanges++
+}
+
 // newJob adds a workload with its progress. The workload's arrival is its Accepted time, or now if that is in the future
 // or at least an hour ago, since it comes from the clock of another VM.
 func (c *Core) newJob(r Record, p Progress, now time.Time) *job {
@@ -411,14 +434,23 @@
 	return o.Done || o.Steps != nil && o.Steps[id.Step] != nil && o.Steps[id.Step][id.Index].State == TaskDone
 }
 
-// stepReady reports whether all steps that step s depends on are done.
-func (j *job) stepReady(k, s int) bool {
-	for _, a := range j.step(s).After {
-		if !j.stepDone(k, a) {
-			return false
+// doneSteps returns for each step of occurrence k whether it is done.
+func (j *job) doneSteps(k int) []bool {
+	done := make([]bool, len(j.record.Workload.Steps))
+	for s := range done {
+		done[s] = j.stepDone(k, s)
+	}
+	return done
+}
+
+// firstOpenOccurrence returns the first occurrence that is not done.
+func (j *job) firstOpenOccurrence() int {
+	for ; j.firstOpen < j.record.Workload.Occurrences(); j.firstOpen++ {
+		if o := j.occurrence(j.firstOpen); o == nil || !o.Done {
+			break
 		}
 	}
-	return true
+	return j.firstOpen
 }
 
 // setState sets the state of a workload and, if it differs, marks the progress as changed.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -800,3 +800,36 @@
 	f.advance(2 * suspectWait)
 	assert.Equal(t, len(f.runningNodes("job")), 3, "the second attempt runs")
 }
+
+// TestSearchesReachAllSteps guards against an urgent step that never gets room, because the searches for other steps of
+// its workload, which fit nowhere, use up the limit of each plan.
+func TestSearchesReachAllSteps(t *testing.T) {
+	for _, option := range []option{priority(0), func(w *descriptor.Workload) { gang(w); w.Priority = 0 }} {
+		f := newFixture(t, 1)
+		f.submit("low", 3, 8, time.Minute, priority(2))
+		f.planAndApply()
+		f.reportAll()
+		f.submit("urgent", 1, 1, time.Second, option, manySteps(3*maxSearches), func(w *descriptor.Workload) {
+			for i := range w.Steps[:len(w.Steps)-1] {
+				w.Steps[i].Size.Accelerators = descriptor.Accelerators(9 + i)
+			}
+		})
+		f.advance(3 * time.Second)
+		assert.Equal(t, len(f.runningNodes("urgent")), 1)
+	}
+}
+
+// TestStepWithoutRoomHoldsNothingUp guards against a step that does not start although there is room for it, because
+// there is none for another step of the workload.
+func TestStepWithoutRoomHoldsNothingUp(t *testing.T) {
+	for _, option := range []option{priority(0), priority(1), sameRack} {
+		f := newFixture(t, 1)
+		f.submit("job", 1, 9, time.Second, option, manySteps(4), func(w *descriptor.Workload) {
+			w.Steps[1].Size.Accelerators = 1
+			w.Steps[2].Label = "nowhere"
+			w.Steps[3].Size.Accelerators = 8
+		})
+		f.planAndApply()
+		assert.Equal(t, len(f.runningNodes("job")), 2)
+	}
+}
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -100,7 +100,7 @@
 		}
 	}
 	slices.SortFunc(units, func(a, b *stopUnit) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.attempts[0].id.Task.String(), b.attempts[0].id.Task.String()))
+		return cmp.Or(cmp.Compare(a.cost, b.cost), a.attempts[0].id.Task.Compare(b.attempts[0].id.Task))
 	})
 	return units
 }
--- a/internal/planner/runtimes.go
+++ b/internal/planner/runtimes.go
@@ -27,6 +27,8 @@
 	byWorker map[descriptor.WorkerID]time.Duration
 	// median caches the median over all workers; 0 means that it must be computed.
 	median time.Duration
+	// mediansExcept caches the results of medianExcept.
+	mediansExcept map[descriptor.WorkerID]time.Duration
 }
 
 // set replaces the projected run time on a worker, and discards the cached median if it has changed.
@@ -36,6 +38,7 @@
 	}
 	if o.byWorker[w] != d {
 		o.byWorker[w], o.median = d, 0
+		clear(o.mediansExcept)
 	}
 }
 
@@ -55,6 +58,19 @@
 	if o == nil {
 		return 0
 	}
+	if m, ok := o.mediansExcept[except]; ok {
+		return m
+	}
+	if o.mediansExcept == nil {
+		o.mediansExcept = map[descriptor.WorkerID]time.Duration{}
+	}
+	m := o.computeMedian(except)
+	o.mediansExcept[except] = m
+	return m
+}
+
+// computeMedian is medianExcept without the cache.
+func (o *observedRunTimes) computeMedian(except descriptor.WorkerID) time.Duration {
 	var runTimes []time.Duration
 	for w, d := range o.byWorker {
 		if w != except {
@@ -81,7 +97,7 @@
 // recordProjectedRunTime records the run time projected from an attempt's progress, if that is meaningful, at least
 // minProjectionPercent and less than 100. Attempts with a checkpoint are left out.
 func (c *Core) recordProjectedRunTime(r *attempt) {
-	if !c.progressMeaningful(r) || r.percent < minProjectionPercent || r.percent >= 100 || r.checkpoint != "" {
+	if r.percent < minProjectionPercent || r.percent >= 100 || r.checkpoint != "" || !c.progressMeaningful(r) {
 		return
 	}
 	projected := c.workedTime(r, r.lastProgress) * 100 / time.Duration(r.percent)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -145,6 +145,7 @@
 		ordered := r.startDeadline != 0
 		r.incarnation, r.confirmed, r.startDeadline, r.stopping, r.stopAnswered = w.incarnation, false, 0, false, 0
 		r.percent, r.lastListed = 0, 0
+		r.job.attemptChanges++
 		if ordered {
 			r.startDeadline = noStartDeadline
 			orders = append(orders, c.orderStop(r, o.Received, causeWorkerLost, "worker has a new incarnation")...)
@@ -181,7 +182,7 @@
 func (w *worker) sortedAttempts() []*attempt {
 	attempts := slices.Collect(maps.Values(w.attempts))
 	slices.SortFunc(attempts, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(a.id.Task.String(), b.id.Task.String()), cmp.Compare(a.id.Attempt, b.id.Attempt))
+		return cmp.Or(a.id.Task.Compare(b.id.Task), cmp.Compare(a.id.Attempt, b.id.Attempt))
 	})
 	return attempts
 }
@@ -201,8 +202,8 @@
 // first report that lists an attempt confirms it.
 func (c *Core) updateProgress(r *attempt, status descriptor.AttemptStatus, clock descriptor.WorkerClock, now time.Time) {
 	if !r.confirmed {
-		r.confirmed, r.started, r.firstListed, r.lastProgress = true, now, clock, clock
-		c.markBegun(r)
+		r.started, r.firstListed, r.lastProgress = now, clock, clock
+		c.confirm(r)
 	}
 	r.lastListed = max(r.lastListed, clock)
 	if status.Percent != r.percent {
@@ -214,9 +215,14 @@
 	c.recordProjectedRunTime(r)
 }
 
-// markBegun records that a task of the attempt's workload was reported as running.
-func (c *Core) markBegun(r *attempt) {
-	if r.job != nil && !r.job.progress.Begun {
+// confirm records that an attempt was reported as running.
+func (c *Core) confirm(r *attempt) {
+	r.confirmed = true
+	if r.job == nil {
+		return
+	}
+	r.job.attemptChanges++
+	if !r.job.progress.Begun {
 		r.job.progress.Begun = true
 		c.dirty[r.job.id()] = true
 	}
@@ -274,7 +280,7 @@
 	if r.job == nil || r.job.activeAttempts[r.id.Task] != r {
 		return
 	}
-	delete(r.job.activeAttempts, r.id.Task)
+	r.job.dropActive(r.id.Task)
 	if r.job.taskDone(r.id.Task) {
 		return
 	}
@@ -315,8 +321,8 @@
 		return
 	}
 	if r := w.attempts[id]; r != nil && !r.confirmed {
-		r.confirmed, r.started, r.firstListed, r.lastProgress, r.lastListed = true, now, clock, clock, clock
-		c.markBegun(r)
+		r.started, r.firstListed, r.lastProgress, r.lastListed = now, clock, clock, clock
+		c.confirm(r)
 	}
 }
 
@@ -351,7 +357,7 @@
 		return
 	}
 	if r != nil && r.current() {
-		delete(j.activeAttempts, e.Task)
+		j.dropActive(e.Task)
 	}
 	if j.taskDone(e.Task) {
 		return
@@ -454,7 +460,7 @@
 		for i := range tasks {
 			if tasks[i].Attempt == e.Attempt {
 				tasks[i].markDone()
-				delete(j.activeAttempts, descriptor.TaskID{Job: j.id(), Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: i})
+				j.dropActive(descriptor.TaskID{Job: j.id(), Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: i})
 			}
 		}
 	}
@@ -472,11 +478,12 @@
 		}
 	}
 	*j.occurrence(k) = Occurrence{Done: true}
+	for s := range j.record.Workload.Steps {
+		delete(j.gangPresences, stepOf{k, s})
+	}
 	j.progress.GivenUp = slices.DeleteFunc(j.progress.GivenUp, func(o TaskAttempt) bool { return o.Occurrence == k })
-	for i := range j.record.Workload.Occurrences() {
-		if o := j.occurrence(i); o == nil || !o.Done {
-			return
-		}
+	if j.firstOpenOccurrence() < j.record.Workload.Occurrences() {
+		return
 	}
 	if j.nonfinal() {
 		c.setState(j, JobDone)
@@ -488,6 +495,10 @@
 // whole, so its members share one count.
 func (c *Core) handleFailed(j *job, e descriptor.AttemptEnd, t *Task, w *worker, now time.Time) {
 	j.failuresByWorker[stepWorker{e.Task.Step, w.incarnation.Worker}]++
+	if j.failedSteps == nil {
+		j.failedSteps = map[int]bool{}
+	}
+	j.failedSteps[e.Task.Step] = true
 	c.recordFailure(w, j, now)
 	failedAttempts := t.FailedAttempts + 1
 	t.FailedAttempts = failedAttempts
--- a/pkg/descriptor/workload.go
+++ b/pkg/descriptor/workload.go
@@ -1,6 +1,7 @@
 package descriptor
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
@@ -158,6 +159,11 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // ParseTaskID parses the form that TaskID.String returns. The job id must not be empty or contain a dot, and the
 // numbers must not be negative.
 func ParseTaskID(text string) (TaskID, error) {
