planner: absence from a list means nothing if the list was cut

What callers saw: after the leader was killed while 700 tasks of a worker ended, 200 of them ran again although they were done (TWICE).

Cause: a worker lists 500 ends at a time. The planner took an attempt that was in neither list for one that is gone: at once for an attempt of a former leader, after its deadline for an unanswered start, after a stop for any. The ends that came with the next list were acknowledged.

Why this works: agent.AttemptLists, agent.Report and planner.Observation carry AllEnds. Without it the planner waits: the ends that are listed get acknowledged, and the next list holds the next ones, until one is whole.

A refused attempt is now noted as given up, so that an end that is listed later counts.

Ruled out: raising or guessing the length of a list, and a second look at an absent attempt; with 1,200 ends the third page is missing as well.

Leader and agents of builds before and after this change do not understand each other's reports, as with every new field of them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -365,7 +365,7 @@
 
 // sameAttempts reports whether two answers list the same attempts, whatever their clocks and progress.
 func sameAttempts(a, b AttemptLists) bool {
-	return slices.EqualFunc(a.Running, b.Running, func(x, y descriptor.AttemptStatus) bool { return x.AttemptID == y.AttemptID }) &&
+	return a.AllEnds == b.AllEnds && slices.EqualFunc(a.Running, b.Running, func(x, y descriptor.AttemptStatus) bool { return x.AttemptID == y.AttemptID }) &&
 		slices.EqualFunc(a.Ended, b.Ended, func(x, y descriptor.AttemptEnd) bool { return x.Seq == y.Seq })
 }
 
@@ -552,6 +552,6 @@
 	return Report{
 		Node: a.Node, Version: a.version, Fence: a.fence, HasStatus: a.confirmed, Status: a.status, WorkerGone: a.workerGone,
 		ListsCurrent: a.hasLists && a.listsFence == a.fence, Clock: a.lists.Clock,
-		Running: a.lists.Running, Ended: a.lists.Ended, Results: results,
+		Running: a.lists.Running, Ended: a.lists.Ended, AllEnds: a.lists.AllEnds, Results: results,
 	}
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -88,7 +88,7 @@
 	}
 	f.fence, f.holdUntil, f.ackedSeq = h.Fence, max(f.holdUntil, h.HoldUntil), max(f.ackedSeq, h.AckedSeq)
 	f.ended = slices.DeleteFunc(f.ended, func(e descriptor.AttemptEnd) bool { return e.Seq <= f.ackedSeq })
-	return AttemptLists{Incarnation: f.incarnation(), Clock: f.clock(), Running: slices.Clone(f.attempts), Ended: slices.Clone(f.ended)}, nil
+	return AttemptLists{Incarnation: f.incarnation(), Clock: f.clock(), Running: slices.Clone(f.attempts), Ended: slices.Clone(f.ended), AllEnds: true}, nil
 }
 
 func (f *fakeWorker) start(_ context.Context, i descriptor.Incarnation, fence descriptor.Fence, s Start) (StartAnswer, error) {
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -66,6 +66,8 @@
 	Clock        descriptor.WorkerClock
 	Running      []descriptor.AttemptStatus
 	Ended        []descriptor.AttemptEnd
+	// AllEnds is true if Ended holds all ends that are not acknowledged.
+	AllEnds bool
 	// Results are the results of the call's starts, then of its stops.
 	Results []Result
 }
@@ -90,13 +92,15 @@
 	Refused descriptor.Refusal
 }
 
-// AttemptLists is a worker's answer to a HoldRequest: its running attempts, and the ended ones that are not
-// acknowledged.
+// AttemptLists is a worker's answer to a HoldRequest: all of its running attempts, and the first of the ended ones that
+// are not acknowledged, in the order of their ends.
 type AttemptLists struct {
 	Incarnation descriptor.Incarnation
 	Clock       descriptor.WorkerClock
 	Running     []descriptor.AttemptStatus
 	Ended       []descriptor.AttemptEnd
+	// AllEnds is true if no end is left out of Ended. Otherwise an attempt that is in neither list may have ended.
+	AllEnds bool
 }
 
 // Errors of calls to a worker.
--- a/internal/leader/fuzz_test.go
+++ b/internal/leader/fuzz_test.go
@@ -46,7 +46,7 @@
 // observationOf returns a report of an idle worker with room.
 func observationOf(clock descriptor.WorkerClock, running []descriptor.AttemptStatus, ended []descriptor.AttemptEnd) planner.Observation {
 	return planner.Observation{
-		Node: "n", Clock: clock, Running: running, Ended: ended, Received: time.Now(),
+		Node: "n", Clock: clock, Running: running, Ended: ended, AllEnds: true, Received: time.Now(),
 		Status: descriptor.WorkerStatus{
 			Incarnation: descriptor.Incarnation{Worker: "w", Born: 1}, Service: "s", Rack: "r",
 			Capacity: descriptor.Capacity{Cores: 64000, Memory: 1 << 17, Accelerators: 8},
@@ -60,9 +60,9 @@
 	id := descriptor.AttemptID{Task: descriptor.TaskID{Job: "j"}, Attempt: 1}
 	odd := descriptor.AttemptID{Task: descriptor.TaskID{Job: "j", Occurrence: -1, Step: 7, Index: -3}, Attempt: -9}
 	for _, r := range []agent.Report{
-		{Node: "n", Fence: 1, HasStatus: true, ListsCurrent: true, Clock: 5, Status: observationOf(1, nil, nil).Status},
+		{Node: "n", Fence: 1, HasStatus: true, ListsCurrent: true, AllEnds: true, Clock: 5, Status: observationOf(1, nil, nil).Status},
 		{
-			Node: "n", Fence: 1, HasStatus: true, ListsCurrent: true, Clock: 9, Status: observationOf(1, nil, nil).Status,
+			Node: "n", Fence: 1, HasStatus: true, ListsCurrent: true, AllEnds: true, Clock: 9, Status: observationOf(1, nil, nil).Status,
 			Running: []descriptor.AttemptStatus{{AttemptID: id, Percent: 50}, {AttemptID: odd, Percent: -7}},
 			Ended:   []descriptor.AttemptEnd{{Seq: 1, AttemptID: id, Outcome: descriptor.OutcomeDone}, {Seq: -1, AttemptID: odd, Outcome: "?"}},
 			Results: []agent.Result{{AttemptID: odd, Started: true}, {AttemptID: id, Refused: "?"}},
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -350,7 +350,7 @@
 		leaderTerm.links["n"] = agentLink
 		workload := descriptor.Workload{ID: "j", Service: "s", MaxAttempts: 2, Steps: []descriptor.Step{{Count: 1}}}
 		status := descriptor.WorkerStatus{Incarnation: descriptor.Incarnation{Worker: "w", Born: 1}, Service: "s"}
-		report := agent.Report{Node: "n", Fence: 1, HasStatus: true, ListsCurrent: true, Status: status, Clock: 1000}
+		report := agent.Report{Node: "n", Fence: 1, HasStatus: true, ListsCurrent: true, AllEnds: true, Status: status, Clock: 1000}
 		leaderTerm.handleReport(agentLink, report, time.Now())
 		leaderTerm.core.Submit(planner.Record{Workload: workload}, time.Now())
 		assert.Equal(t, len(leaderTerm.core.Plan(time.Now())), 1)
@@ -439,7 +439,7 @@
 		report := func(clock descriptor.WorkerClock, ended ...descriptor.AttemptEnd) {
 			o := observationOf(clock, nil, ended)
 			leaderTerm.handleReport(agentLink, agent.Report{
-				Node: "n", Fence: leaderTerm.fence, HasStatus: true, ListsCurrent: true, Status: o.Status, Clock: clock, Ended: ended,
+				Node: "n", Fence: leaderTerm.fence, HasStatus: true, ListsCurrent: true, AllEnds: true, Status: o.Status, Clock: clock, Ended: ended,
 			}, time.Now())
 		}
 		report(1)
@@ -470,3 +470,52 @@
 		assert.Equal(t, calls[0].AckedSeq, int64(1))
 	})
 }
+
+// TestSuccessorReadsEndsPageByPage guards against tasks that a new leader runs again because their ends did not fit into
+// the first list that it read, and against ends that it acknowledges before it has read them.
+func TestSuccessorReadsEndsPageByPage(t *testing.T) {
+	for _, pageSize := range []int{1, 7, 50, 99, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			const count = 100
+			store := newMemoryStore()
+			tasks := make([]planner.Task, count)
+			var unacknowledged []descriptor.AttemptEnd
+			for i := range tasks {
+				tasks[i] = planner.Task{State: planner.TaskPlaced, Attempt: 1, Worker: "w", Born: 1, Node: "n"}
+				unacknowledged = append(unacknowledged, descriptor.AttemptEnd{
+					Seq: int64(i + 1), AttemptID: descriptor.AttemptID{Task: descriptor.TaskID{Job: "many", Index: i}, Attempt: 1}, Outcome: descriptor.OutcomeDone,
+				})
+			}
+			leaderTerm := newLeaderTerm(t, store)
+			storeDocuments(t, store, map[string]any{
+				archiver.JobKey("many"): recordOf("many", descriptor.Step{Count: count}), archiver.ProgressKey("many"): progressWith(tasks...),
+			})
+			leaderTerm.linkCtx = t.Context()
+			starts := 0
+			var acked int64
+			leaderTerm.leader.CallAgent = func(_ context.Context, _ string, s agent.SyncRequest) (agent.Report, error) {
+				starts += len(s.Starts)
+				acked = max(acked, s.AckedSeq)
+				return agent.Report{}, io.EOF
+			}
+			assert.NilError(t, leaderTerm.load(t.Context()))
+			agentLink := &link{term: leaderTerm, node: "n", waitingSince: leaderTerm.startedAt}
+			leaderTerm.links["n"] = agentLink
+			for clock := descriptor.WorkerClock(1); len(unacknowledged) > 0; clock++ {
+				page := unacknowledged[:min(pageSize, len(unacknowledged))]
+				leaderTerm.handleReport(agentLink, agent.Report{
+					Node: "n", Fence: leaderTerm.fence, HasStatus: true, ListsCurrent: true, Status: observationOf(1, nil, nil).Status,
+					Clock: clock, Ended: page, AllEnds: len(page) < pageSize,
+				}, time.Now())
+				assert.NilError(t, leaderTerm.runRound(t.Context()))
+				synctest.Wait()
+				assert.Equal(t, acked, page[len(page)-1].Seq)
+				unacknowledged = unacknowledged[len(page):]
+			}
+			assert.Equal(t, starts, 0)
+			p, ok := leaderTerm.core.Progress("many")
+			assert.Assert(t, ok)
+			assert.Equal(t, p.State, planner.JobDone)
+		})
+	}
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -283,7 +283,8 @@
 	l.holdUntil = report.Clock + descriptor.WorkerClock(t.leader.MaxHold.Milliseconds())
 	l.mu.Unlock()
 	stops := t.core.Observe(planner.Observation{
-		Node: l.node, Status: report.Status, Clock: report.Clock, Running: report.Running, Ended: report.Ended, Received: receivedAt,
+		Node: l.node, Status: report.Status, Clock: report.Clock, Running: report.Running, Ended: report.Ended, AllEnds: report.AllEnds,
+		Received: receivedAt,
 	})
 	t.pendingStops = append(t.pendingStops, stops...)
 }
--- a/internal/planner/fixture_test.go
+++ b/internal/planner/fixture_test.go
@@ -65,7 +65,7 @@
 // reportNode reports the state of one worker and carries out the orders that follow.
 func (f *fixture) reportNode(node string) {
 	f.clock++
-	o := Observation{Node: node, Status: f.status[node], Clock: f.clock, Ended: f.ends[node], Received: f.now}
+	o := Observation{Node: node, Status: f.status[node], Clock: f.clock, Ended: f.ends[node], AllEnds: true, Received: f.now}
 	for _, s := range f.running[node] {
 		o.Running = append(o.Running, s)
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -112,7 +112,7 @@
 		s.Incarnation.Born = 2
 		f.status[o.Node] = s
 		f.clock = 60
-		stops := f.core.Observe(Observation{Node: o.Node, Status: s, Clock: f.clock, Received: f.now})
+		stops := f.core.Observe(Observation{Node: o.Node, Status: s, Clock: f.clock, AllEnds: true, Received: f.now})
 		assert.Assert(t, len(stops) == 1 && stops[0].Stop && stops[0].Incarnation == s.Incarnation)
 		// The delayed start takes effect.
 		f.running[o.Node][o.Attempt] = descriptor.AttemptStatus{AttemptID: o.Attempt}
@@ -208,11 +208,11 @@
 			c.Load(r, p, now)
 			former := descriptor.WorkerStatus{Incarnation: descriptor.Incarnation{Worker: "w-n00", Born: 1}}
 			if test.known {
-				c.Observe(Observation{Node: "n00", Status: former, Clock: 9000, Running: []descriptor.AttemptStatus{{AttemptID: id}}, Received: now})
+				c.Observe(Observation{Node: "n00", Status: former, Clock: 9000, Running: []descriptor.AttemptStatus{{AttemptID: id}}, AllEnds: true, Received: now})
 			}
 			status := former
 			status.Incarnation.Born = 2
-			stops := c.Observe(Observation{Node: "n00", Status: status, Clock: 50, Running: test.running, Ended: test.ended, Received: now})
+			stops := c.Observe(Observation{Node: "n00", Status: status, Clock: 50, Running: test.running, Ended: test.ended, AllEnds: true, Received: now})
 			assert.Equal(t, len(stops), 0)
 			assert.Equal(t, firstTask(c, "job").State, test.want)
 		})
@@ -229,7 +229,7 @@
 	o := orders[0]
 	f.core.HandleStarted(o.Node, o.Incarnation, o.Attempt, f.clock+50, f.now)
 	f.clock += 10
-	f.core.Observe(Observation{Node: o.Node, Status: f.status[o.Node], Clock: f.clock, Received: f.now})
+	f.core.Observe(Observation{Node: o.Node, Status: f.status[o.Node], Clock: f.clock, AllEnds: true, Received: f.now})
 	assert.Equal(t, len(f.core.Plan(f.now)), 0)
 }
 
@@ -244,7 +244,7 @@
 		clock    descriptor.WorkerClock
 		restarts int
 	}{{f.clock + 2500, 0}, {f.clock + 2501, 1}} {
-		f.core.Observe(Observation{Node: o.Node, Status: f.status[o.Node], Clock: report.clock, Received: f.now})
+		f.core.Observe(Observation{Node: o.Node, Status: f.status[o.Node], Clock: report.clock, AllEnds: true, Received: f.now})
 		assert.Equal(t, len(f.core.Plan(f.now)), report.restarts)
 	}
 }
@@ -258,7 +258,7 @@
 	report := func() []Order {
 		f.now = f.now.Add(500 * time.Millisecond)
 		f.clock += 500
-		return f.core.Observe(Observation{Node: o.Node, Status: f.status[o.Node], Clock: f.clock, Received: f.now})
+		return f.core.Observe(Observation{Node: o.Node, Status: f.status[o.Node], Clock: f.clock, AllEnds: true, Received: f.now})
 	}
 	for f.now.Before(time.Unix(1000, 0).Add(maxStartConfirmation)) {
 		assert.Equal(t, len(report()), 0)
@@ -588,7 +588,7 @@
 	s := f.status[node]
 	s.Draining, s.DrainRemaining = true, 1800
 	f.clock += 500
-	f.core.Observe(Observation{Node: node, Status: s, Clock: f.clock, Running: []descriptor.AttemptStatus{f.running[node][attemptID]}, Received: f.now})
+	f.core.Observe(Observation{Node: node, Status: s, Clock: f.clock, Running: []descriptor.AttemptStatus{f.running[node][attemptID]}, AllEnds: true, Received: f.now})
 	f.planAndApply()
 	assert.Equal(t, f.stopCount(), 0)
 }
@@ -833,3 +833,37 @@
 		assert.Equal(t, len(f.runningNodes("job")), 2)
 	}
 }
+
+// TestCutListProvesNothing guards against an attempt that is stopped, or whose task runs again, because a list that the
+// worker cut leaves its end out.
+func TestCutListProvesNothing(t *testing.T) {
+	for name, prepare := range map[string]func(f *fixture, o Order){
+		"confirmed":          func(f *fixture, o Order) { f.core.HandleStarted(o.Node, o.Incarnation, o.Attempt, f.clock, f.now) },
+		"unanswered":         func(f *fixture, o Order) { f.core.SetStartDeadline(o.Node, o.Attempt, f.clock) },
+		"of a former leader": func(f *fixture, _ Order) { takeOver(f.t, f) },
+		"stop answered":      func(f *fixture, o Order) { f.core.HandleStopped(o.Node, o.Incarnation, o.Attempt, f.clock) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.submit("job", 1, 1, 5*time.Second)
+			o := f.core.Plan(f.now)[0]
+			prepare(f, o)
+			report := func(allEnds bool, ended ...descriptor.AttemptEnd) []Order {
+				f.now = f.now.Add(100 * time.Millisecond)
+				f.clock += 100
+				return f.core.Observe(Observation{
+					Node: o.Node, Status: f.status[o.Node], Clock: f.clock, Ended: ended, AllEnds: allEnds, Received: f.now,
+				})
+			}
+			other := descriptor.AttemptID{Task: descriptor.TaskID{Job: "other"}, Attempt: 1}
+			for range 3 {
+				assert.Equal(t, len(report(false, descriptor.AttemptEnd{Seq: 1, AttemptID: other, Outcome: descriptor.OutcomeDone})), 0)
+				assert.Equal(t, len(f.core.Plan(f.now)), 0)
+				assert.Equal(t, firstTask(f.core, "job").State, TaskPlaced)
+			}
+			report(true, descriptor.AttemptEnd{Seq: 2, AttemptID: o.Attempt, Outcome: descriptor.OutcomeDone})
+			assert.Equal(t, len(f.core.Plan(f.now)), 0)
+			assert.Equal(t, f.jobState("job"), JobDone)
+		})
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -75,8 +75,11 @@
 	// Clock is the worker clock at which the lists were current.
 	Clock   descriptor.WorkerClock
 	Running []descriptor.AttemptStatus
-	// Ended lists the ended attempts that are not acknowledged yet.
+	// Ended lists ended attempts that are not acknowledged yet.
 	Ended []descriptor.AttemptEnd
+	// AllEnds is true if Ended holds all of them. Only then does it mean anything that an attempt is listed neither as
+	// running nor as ended.
+	AllEnds bool
 	// Received is when the report arrived.
 	Received time.Time
 }
@@ -120,6 +123,9 @@
 		}
 		orders = append(orders, c.stopStray(w, status, o.Received)...)
 	}
+	if !o.AllEnds {
+		return orders
+	}
 	for _, r := range w.sortedAttempts() {
 		if !listed[r.id] {
 			orders = append(orders, c.handleUnlisted(r, o)...)
@@ -154,7 +160,7 @@
 	return orders
 }
 
-// handleUnlisted handles an attempt that the report does not list as running.
+// handleUnlisted handles an attempt that a report with all ends lists neither as running nor as ended.
 func (c *Core) handleUnlisted(r *attempt, o Observation) []Order {
 	switch {
 	case r.stopAnswered != 0 && o.Clock > r.stopAnswered, r.job == nil && o.Clock > r.lastListed,
@@ -309,7 +315,7 @@
 		w.suspectUntil = now.Add(suspectPeriod)
 	}
 	if r := w.attempts[id]; r != nil && !r.confirmed {
-		c.removeAttempt(r, now, "start refused: "+string(refusal))
+		c.giveUp(r, now, "start refused: "+string(refusal))
 	}
 }
 
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -305,7 +305,7 @@
 		}
 		n.reportDue, n.lastReportAt = false, sm.now
 		n.clock = max(n.clock+1, descriptor.WorkerClock(sm.now.Milliseconds()))
-		observation := planner.Observation{Node: n.name, Status: n.status, Clock: n.clock, Ended: n.ended, Received: sm.virtualTime()}
+		observation := planner.Observation{Node: n.name, Status: n.status, Clock: n.clock, Ended: n.ended, AllEnds: true, Received: sm.virtualTime()}
 		for _, id := range slices.SortedFunc(maps.Keys(n.attempts), func(a, b descriptor.AttemptID) int {
 			return cmp.Or(cmp.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Attempt, b.Attempt))
 		}) {
