encoder: stored and sent times keep their milliseconds

What callers saw: a run starts up to 999 ms before its time, here 878 ms (ORDER); the bound is 250 ms.

Cause: documents and messages were encoded with the default options of the CBOR library, which cut a time to whole seconds.

Related path: a submission that an entry passes on to another entry lost its milliseconds the same way, whatever the store keeps (TestForwardedCallKeepsDueTime, which posts to the handler of the peer).

Ruled out: another type for due times. Integers in the place of the former seconds could not be told from them in stored documents.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +22,7 @@
 	"gotest.tools/v3/assert"
 
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/encoder"
 	"persimmontrail/internal/planner"
 	"persimmontrail/internal/recorder"
 	"persimmontrail/pkg/descriptor"
@@ -566,3 +568,22 @@
 		assert.Assert(t, !ok)
 	}
 }
+
+// TestForwardedCallKeepsDueTime guards against work that starts up to a second before its time, because the entry that
+// took the submission could not reach the store and cut the due time as it passed the call on.
+func TestForwardedCallKeepsDueTime(t *testing.T) {
+	m := &memoryStore{}
+	peer := newAdmitter(t, m)
+	c := submitCall("j")
+	c.Workload.Times, c.Workload.FirstDue, c.Workload.Interval = 2, time.UnixMilli(1765000000900), 1500*time.Millisecond
+	body, err := encoder.Marshal(c)
+	assert.NilError(t, err)
+	w := httptest.NewRecorder()
+	peer.PeerHandler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, CallPath, bytes.NewReader(body)))
+	assert.Equal(t, w.Code, http.StatusOK)
+	var stored planner.Record
+	assert.NilError(t, archiver.Decode(m.items[archiver.JobKey("j")].Value, &stored))
+	for k := range 2 {
+		assert.Assert(t, stored.Workload.Due(k).Equal(c.Workload.Due(k)))
+	}
+}
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -14,9 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/encoder"
 )
 
 // Paths of the HTTP interface between entries.
@@ -162,7 +161,7 @@
 	if leader.Node == a.Node || a.isUnreachable(leader) {
 		return
 	}
-	body, err := cbor.Marshal(i)
+	body, err := encoder.Marshal(i)
 	if err != nil {
 		a.Log.Error("failed to encode document for the leader", "key", i.Key, "err", err)
 		return
@@ -240,7 +239,7 @@
 // callPeer forwards a call to another entry and waits for the reply for 200 ms longer than c.Timeout.
 func (a *Admitter) callPeer(ctx context.Context, m archiver.Member, c Call) (Reply, error) {
 	var r Reply
-	body, err := cbor.Marshal(c)
+	body, err := encoder.Marshal(c)
 	if err != nil {
 		return r, err
 	}
@@ -248,7 +247,7 @@
 	if err != nil {
 		return r, err
 	}
-	return r, cbor.Unmarshal(data, &r)
+	return r, encoder.Unmarshal(data, &r)
 }
 
 // postToPeer posts body to another entry and returns the body of its response. The error is errNotSent if no connection
@@ -288,7 +287,7 @@
 		var c Call
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
 		if err == nil {
-			err = cbor.Unmarshal(data, &c)
+			err = encoder.Unmarshal(data, &c)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -302,7 +301,7 @@
 		var i archiver.Item
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
 		if err == nil {
-			err = cbor.Unmarshal(data, &i)
+			err = encoder.Unmarshal(data, &i)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -314,7 +313,7 @@
 		var knownRevision archiver.Revision
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
 		if err == nil {
-			err = cbor.Unmarshal(data, &knownRevision)
+			err = encoder.Unmarshal(data, &knownRevision)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -348,7 +347,7 @@
 
 // writeCBOR encodes value as the body of the response.
 func (a *Admitter) writeCBOR(w http.ResponseWriter, value any) {
-	data, err := cbor.Marshal(value)
+	data, err := encoder.Marshal(value)
 	if err != nil {
 		a.Log.Error("failed to encode response", "err", err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -384,7 +383,7 @@
 		knownRevision = max(knownRevision, i.Revision)
 		return true
 	})
-	body, err := cbor.Marshal(knownRevision)
+	body, err := encoder.Marshal(knownRevision)
 	if err != nil {
 		a.Log.Error("failed to encode revision", "err", err)
 		return false
@@ -392,7 +391,7 @@
 	data, err := postToPeer(ctx, m.Address, PlanPath, body, storeTimeout)
 	var update PlanUpdate
 	if err == nil {
-		err = cbor.Unmarshal(data, &update)
+		err = encoder.Unmarshal(data, &update)
 	}
 	if err != nil {
 		a.Log.Debug("failed to get configuration from entry", "node", m.Node, "err", err)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -4,7 +4,7 @@
 	"io"
 	"net/http"
 
-	"github.com/fxamacker/cbor/v2"
+	"persimmontrail/internal/encoder"
 )
 
 // maxSyncBytes bounds the body of a call: 60 starts with specs of 4,000 bytes take 0.3 MB.
@@ -21,12 +21,12 @@
 			return
 		}
 		var s SyncRequest
-		if err := cbor.Unmarshal(body, &s); err != nil {
+		if err := encoder.Unmarshal(body, &s); err != nil {
 			a.Log.Warn("failed to decode sync call", "err", err)
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		data, err := cbor.Marshal(a.Sync(r.Context(), s))
+		data, err := encoder.Marshal(a.Sync(r.Context(), s))
 		if err != nil {
 			a.Log.Error("failed to encode report", "err", err)
 			http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/archiver/documents.go
+++ b/internal/archiver/documents.go
@@ -11,8 +11,7 @@
 	"strings"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"persimmontrail/internal/encoder"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -134,7 +133,7 @@
 
 // Encode returns the stored form of a document: CBOR, compressed if it takes at least minCompressBytes.
 func Encode(document any) []byte {
-	data, err := cbor.Marshal(document)
+	data, err := encoder.Marshal(document)
 	if err != nil {
 		// Documents hold no types that CBOR cannot encode.
 		panic(fmt.Sprintf("archiver: encode %T: %v", document, err))
@@ -163,7 +162,7 @@
 			return fmt.Errorf("decode %T: %w", document, err)
 		}
 	}
-	if err := cbor.Unmarshal(data, document); err != nil {
+	if err := encoder.Unmarshal(data, document); err != nil {
 		return fmt.Errorf("decode %T: %w", document, err)
 	}
 	return nil
--- a/internal/archiver/documents_test.go
+++ b/internal/archiver/documents_test.go
@@ -3,10 +3,12 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"persimmontrail/internal/archiver"
+	"persimmontrail/pkg/descriptor"
 )
 
 // TestParseKey guards against keys that do not parse back to their kind and name: a new leader would miss those
@@ -81,3 +83,17 @@
 		_ = archiver.Decode(data, &m)
 	})
 }
+
+// TestDocumentsKeepDueTimes guards against work that starts up to a second before its time, because the stored document
+// cuts the due time to whole seconds.
+func TestDocumentsKeepDueTimes(t *testing.T) {
+	for _, ms := range []int64{0, 1, 999, 1765000000000, 1765000000001, 1765000000900, 1765000000999} {
+		want := descriptor.Workload{Times: 3, FirstDue: time.UnixMilli(ms), Interval: 250 * time.Millisecond, Accepted: time.UnixMilli(ms)}
+		var got descriptor.Workload
+		assert.NilError(t, archiver.Decode(archiver.Encode(want), &got))
+		for k := range want.Times {
+			assert.Assert(t, got.Due(k).Equal(want.Due(k)), "%v became %v", want.Due(k), got.Due(k))
+		}
+		assert.Assert(t, got.Accepted.Equal(want.Accepted))
+	}
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -11,10 +11,9 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"persimmontrail/internal/agent"
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/encoder"
 	"persimmontrail/internal/planner"
 	"persimmontrail/pkg/descriptor"
 )
@@ -210,7 +209,7 @@
 
 func callByHTTP(ctx context.Context, address string, message agent.SyncRequest) (agent.Report, error) {
 	var report agent.Report
-	body, err := cbor.Marshal(message)
+	body, err := encoder.Marshal(message)
 	if err != nil {
 		return report, err
 	}
@@ -230,7 +229,7 @@
 	if response.StatusCode != http.StatusOK {
 		return report, fmt.Errorf("agent answered with status %s", response.Status)
 	}
-	return report, cbor.Unmarshal(data, &report)
+	return report, encoder.Unmarshal(data, &report)
 }
 
 // estimatedClock estimates the worker's clock. The estimate is ahead of that clock only if the clock runs slower than
