descriptor: due times that are far apart do not overflow into the past

What callers could see: an occurrence starts at once, centuries before its time (ORDER).

Cause: occurrence times interval is a product of two numbers of the caller, in a signed 64-bit number of nanoseconds.

--- a/pkg/descriptor/workload.go
+++ b/pkg/descriptor/workload.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -137,12 +138,17 @@
 // Occurrences returns the number of occurrences, at least 1.
 func (w *Workload) Occurrences() int { return max(w.Times, 1) }
 
-// Due returns the time from which occurrence k may start, counted from 0. The zero time means at once.
+// Due returns the time from which occurrence k may start, counted from 0. The zero time means at once. An occurrence that
+// is due more than 292 years, the longest Duration, after the first one is due after that time.
 func (w *Workload) Due(k int) time.Time {
 	if w.Times == 0 {
 		return time.Time{}
 	}
-	return w.FirstDue.Add(time.Duration(k) * w.Interval)
+	sinceFirst := time.Duration(math.MaxInt64)
+	if k == 0 || w.Interval <= sinceFirst/time.Duration(k) {
+		sinceFirst = time.Duration(k) * w.Interval
+	}
+	return w.FirstDue.Add(sinceFirst)
 }
 
 // TaskID identifies one task of one occurrence of a workload. Occurrence, Step and Index count from 0.
--- a/pkg/descriptor/workload_test.go
+++ b/pkg/descriptor/workload_test.go
@@ -1,7 +1,9 @@
 package descriptor_test
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -55,3 +57,20 @@
 		assert.ErrorContains(t, err, "want job.occurrence.step.index", bad)
 	}
 }
+
+// TestDueOfFarOccurrences guards against an occurrence that is due before its time because the sum overflows.
+func TestDueOfFarOccurrences(t *testing.T) {
+	first := time.UnixMilli(1765000000900)
+	w := descriptor.Workload{Times: descriptor.MaxOccurrences, FirstDue: first}
+	for _, interval := range []time.Duration{0, time.Millisecond, time.Hour, 1000 * time.Hour, 100 * 365 * 24 * time.Hour, math.MaxInt64} {
+		w.Interval = interval
+		former := first
+		for k := range w.Times {
+			due := w.Due(k)
+			assert.Assert(t, !due.Before(former), "occurrence %d at intervals of %v is due at %v, the one before at %v", k, interval, due, former)
+			former = due
+		}
+	}
+	w.Interval = 1500 * time.Millisecond
+	assert.Assert(t, w.Due(3).Equal(time.UnixMilli(1765000005400)))
+}
