leader: starts for one agent fit into the calls that it takes

Cause: a round sends all starts for an agent in one call, each with the whole spec. The agent refuses a call of more than 4 MiB as a whole, and the next round sends the same. The leader did not know the agent's limit.

Why this works: an encoded call holds each spec once, so that its size does not grow with tasks times spec, and the leader starts a new call where an upper estimate of the size reaches an eighth of the limit that package agent exports.

TestOrdersFitIntoCalls fails when each start carries its spec, as before.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
+	"persimmontrail/internal/encoder"
 	"persimmontrail/internal/recorder"
 	"persimmontrail/pkg/descriptor"
 )
@@ -563,3 +565,34 @@
 		}
 	}
 }
+
+// TestCallHoldsEachSpecOnce guards against a call that grows with the number of starts times the size of their spec, so
+// that the starts of a wide workload are more than an agent takes, and against a start with the spec of another workload.
+func TestCallHoldsEachSpecOnce(t *testing.T) {
+	call := SyncRequest{Fence: 7, Incarnation: incarnation, AckedSeq: 3, Stops: []descriptor.AttemptID{attemptID(9, 9)}}
+	size := 0
+	for i := range 3000 {
+		spec := strings.Repeat(string(rune('a'+i%3)), 100_000)
+		call.Starts = append(call.Starts, Start{AttemptID: attemptID(i, 1), Spec: spec, Checkpoint: "cp", Deadline: 5})
+		size += len(spec)
+	}
+	call.Starts = append(call.Starts, Start{AttemptID: attemptID(3000, 1)})
+	data, err := call.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < size/100 && len(data) < MaxSyncBytes, "%d bytes", len(data))
+	decoded, err := DecodeSyncRequest(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, call)
+}
+
+// TestCallWithUnknownSpecIsRefused guards against a panic of the agent, or a start with another spec.
+func TestCallWithUnknownSpecIsRefused(t *testing.T) {
+	for _, index := range []int{-1, 1, 1 << 40} {
+		data, err := encoder.Marshal(SyncRequest{Specs: []string{"spec"}, Starts: []Start{{AttemptID: attemptID(0, 1), SpecIndex: index}}})
+		assert.NilError(t, err)
+		_, err = DecodeSyncRequest(data)
+		assert.ErrorIs(t, err, ErrCall)
+	}
+	_, err := DecodeSyncRequest([]byte("not CBOR"))
+	assert.ErrorIs(t, err, ErrCall)
+}
--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/fxamacker/cbor/v2"
 
 	"persimmontrail/internal/recorder"
 	"persimmontrail/pkg/descriptor"
@@ -21,7 +20,7 @@
 		{},
 		{Fence: 7, Incarnation: incarnation, HoldUntil: -1, AckedSeq: 1 << 62, Starts: []Start{{AttemptID: attemptID(0, 1)}}, Stops: []descriptor.AttemptID{attemptID(-1, -1)}},
 	} {
-		data, err := cbor.Marshal(s)
+		data, err := s.Encode()
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -10,8 +10,11 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
+	"persimmontrail/internal/encoder"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -35,20 +38,61 @@
 	HoldUntil descriptor.WorkerClock
 	// AckedSeq acknowledges all ended attempts up to this sequence number: the leader has recorded them durably.
 	AckedSeq int64
-	Starts   []Start
-	Stops    []descriptor.AttemptID
+	// Specs holds the specs of Starts in an encoded call, each of them once.
+	Specs  []string
+	Starts []Start
+	Stops  []descriptor.AttemptID
 }
 
 // Start is an order to start an attempt. A worker that already has the attempt answers that it is started.
 type Start struct {
 	_ struct{} `cbor:",toarray"`
 	descriptor.AttemptID
-	Spec       string
+	// Spec is not encoded; SpecIndex is its index in SyncRequest.Specs.
+	Spec       string `cbor:"-"`
+	SpecIndex  int
 	Checkpoint string
 	// Deadline is the time on the worker's clock after which the start must not take effect.
 	Deadline descriptor.WorkerClock
 }
 
+// Encode returns the encoded call. The starts of one workload share its spec, which may be far larger than the rest.
+func (r SyncRequest) Encode() ([]byte, error) {
+	indexes := map[string]int{}
+	r.Specs, r.Starts = nil, slices.Clone(r.Starts)
+	for i := range r.Starts {
+		s := &r.Starts[i]
+		index, ok := indexes[s.Spec]
+		if !ok {
+			index = len(r.Specs)
+			indexes[s.Spec] = index
+			r.Specs = append(r.Specs, s.Spec)
+		}
+		s.SpecIndex = index
+	}
+	return encoder.Marshal(r)
+}
+
+// ErrCall means that a call cannot be decoded.
+var ErrCall = errors.New("invalid call")
+
+// DecodeSyncRequest decodes a call.
+func DecodeSyncRequest(data []byte) (SyncRequest, error) {
+	var r SyncRequest
+	if err := encoder.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("%w: %w", ErrCall, err)
+	}
+	for i := range r.Starts {
+		s := &r.Starts[i]
+		if s.SpecIndex < 0 || s.SpecIndex >= len(r.Specs) {
+			return r, fmt.Errorf("%w: start %d has spec %d of %d", ErrCall, i, s.SpecIndex, len(r.Specs))
+		}
+		s.Spec, s.SpecIndex = r.Specs[s.SpecIndex], 0
+	}
+	r.Specs = nil
+	return r, nil
+}
+
 // Report is the agent's answer to a SyncRequest.
 type Report struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -7,21 +7,21 @@
 	"persimmontrail/internal/encoder"
 )
 
-// maxSyncBytes bounds the body of a call: 60 starts with specs of 4,000 bytes take 0.3 MB.
-const maxSyncBytes = 4 << 20
+// MaxSyncBytes bounds the body of a call; a longer one is refused as a whole.
+const MaxSyncBytes = 4 << 20
 
 // Handler returns the HTTP handler of the leaders' calls: a POST of a SyncRequest to SyncPath is answered with a
 // Report, both in CBOR.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+SyncPath, func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSyncBytes))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxSyncBytes))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		var s SyncRequest
-		if err := encoder.Unmarshal(body, &s); err != nil {
+		s, err := DecodeSyncRequest(body)
+		if err != nil {
 			a.Log.Warn("failed to decode sync call", "err", err)
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/internal/encoder/encoder_test.go
+++ b/internal/encoder/encoder_test.go
@@ -29,7 +29,8 @@
 		assert.Assert(t, got.Due.Equal(want) && got.List[0].Equal(want), "%v became %v and %v", want, got.Due, got.List[0])
 	}
 	for _, want := range []time.Time{
-		{}, time.UnixMilli(1765000000900), time.UnixMilli(1), time.Unix(0, 1), time.Date(9999, 12, 31, 23, 59, 59, 999999999, time.UTC),
+		{},
+		time.UnixMilli(1765000000900), time.UnixMilli(1), time.Unix(0, 1), time.Date(9999, 12, 31, 23, 59, 59, 999999999, time.UTC),
 		time.Date(2026, 12, 6, 3, 0, 0, 123456789, time.FixedZone("", 3600)),
 	} {
 		check(t, want)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -519,3 +521,59 @@
 		})
 	}
 }
+
+// TestOrdersFitIntoCalls guards against a round whose starts for one agent are more than it takes in a call: it refuses
+// the call as a whole, the next round sends the same again, and nothing starts.
+func TestOrdersFitIntoCalls(t *testing.T) {
+	for name, jobs := range map[string][]struct{ count, specBytes int }{
+		"wide with a long spec":   {{1100, 4000}},
+		"wide with a huge spec":   {{1200, 200_000}},
+		"many with long specs":    slices.Repeat([]struct{ count, specBytes int }{{2, 100_000}}, 100),
+		"spec beyond a call size": {{3, 2 * maxOrderBytes}, {3, 10}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				leaderTerm := newLeaderTerm(t, newMemoryStore())
+				leaderTerm.linkCtx = t.Context()
+				var mu sync.Mutex
+				starts := map[descriptor.AttemptID]string{}
+				leaderTerm.leader.CallAgent = func(_ context.Context, _ string, s agent.SyncRequest) (agent.Report, error) {
+					data, err := s.Encode()
+					assert.Check(t, err)
+					assert.Check(t, len(data) <= agent.MaxSyncBytes, "%d bytes", len(data))
+					mu.Lock()
+					defer mu.Unlock()
+					for _, x := range s.Starts {
+						_, twice := starts[x.AttemptID]
+						assert.Check(t, !twice, "%v is sent twice", x.AttemptID)
+						starts[x.AttemptID] = x.Spec
+					}
+					return agent.Report{}, io.EOF
+				}
+				agentLink := &link{term: leaderTerm, node: "n", waitingSince: leaderTerm.startedAt}
+				leaderTerm.links["n"] = agentLink
+				o := observationOf(1, nil, nil)
+				leaderTerm.handleReport(agentLink, agent.Report{
+					Node: "n", Fence: leaderTerm.fence, HasStatus: true, ListsCurrent: true, AllEnds: true, Status: o.Status, Clock: 1,
+				}, time.Now())
+				total := 0
+				for i, j := range jobs {
+					id := descriptor.JobID(fmt.Sprintf("job%d", i))
+					r := recordOf(id, descriptor.Step{Count: j.count, Size: descriptor.Capacity{Cores: 50}})
+					r.Workload.Spec = strings.Repeat(string(rune('a'+i%26)), j.specBytes)
+					leaderTerm.core.Submit(r, time.Now())
+					total += j.count
+				}
+				assert.NilError(t, leaderTerm.runRound(t.Context()))
+				synctest.Wait()
+				assert.Equal(t, len(starts), total)
+				for id, spec := range starts {
+					var i int
+					_, err := fmt.Sscanf(string(id.Task.Job), "job%d", &i)
+					assert.NilError(t, err)
+					assert.Equal(t, spec, strings.Repeat(string(rune('a'+i%26)), jobs[i].specBytes))
+				}
+			})
+		})
+	}
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -209,7 +209,7 @@
 
 func callByHTTP(ctx context.Context, address string, message agent.SyncRequest) (agent.Report, error) {
 	var report agent.Report
-	body, err := encoder.Marshal(message)
+	body, err := message.Encode()
 	if err != nil {
 		return report, err
 	}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -338,14 +338,20 @@
 // sendOrders sends the orders. Starts that are no longer allowed are dropped and count as refused; orders to nodes
 // without a link are not sent.
 func (t *term) sendOrders(orders []planner.Order, now time.Time) {
-	batches := map[string]*agent.SyncRequest{}
+	batches := map[string]*orderBatch{}
+	// batch returns the call to which an order is added, after it has sent one that has no room for it.
 	batch := func(o planner.Order) *agent.SyncRequest {
 		b := batches[o.Node]
+		if b != nil && !b.add(o) {
+			t.links[o.Node].send(b.call)
+			b = nil
+		}
 		if b == nil {
-			b = &agent.SyncRequest{Fence: t.fence, Incarnation: o.Incarnation}
+			b = &orderBatch{call: agent.SyncRequest{Fence: t.fence, Incarnation: o.Incarnation}, specs: map[string]bool{}}
+			b.add(o)
 			batches[o.Node] = b
 		}
-		return b
+		return &b.call
 	}
 	for _, o := range orders {
 		l := t.links[o.Node]
@@ -373,8 +379,38 @@
 		b.Starts = append(b.Starts, agent.Start{AttemptID: o.Attempt, Spec: o.Spec, Checkpoint: o.Checkpoint, Deadline: deadline})
 	}
 	for node, b := range batches {
-		t.links[node].send(*b)
+		t.links[node].send(b.call)
+	}
+}
+
+const (
+	// maxOrderBytes bounds the size of a call with orders. It leaves room below agent.MaxSyncBytes, since sizes are
+	// estimated, and lets a call arrive in time on a slow link.
+	maxOrderBytes = agent.MaxSyncBytes / 8
+	// orderBytes is more than an order takes without its spec and checkpoint.
+	orderBytes = 200
+)
+
+// orderBatch is a call with orders that grows.
+type orderBatch struct {
+	call agent.SyncRequest
+	// size is an upper estimate of the encoded size of the call, in which each of specs is written once.
+	size  int
+	specs map[string]bool
+}
+
+// add accounts for an order. It returns false, and changes nothing, if the call has orders and has no room for another.
+func (b *orderBatch) add(o planner.Order) bool {
+	size := orderBytes + len(o.Checkpoint)
+	if !b.specs[o.Spec] {
+		size += len(o.Spec)
+	}
+	if b.size > 0 && b.size+size > maxOrderBytes {
+		return false
 	}
+	b.size += size
+	b.specs[o.Spec] = true
+	return true
 }
 
 // logOrder logs and counts an order. kind is the log message and the value of the metric label.
