agent: send many starts of a call in turn

What was seen: with 1,100 starts for two workers at once, 828 of 2,622 calls to start were answered "old": the first try had been carried out but not answered within 250 ms, and was sent again. The platform gives a worker 64 connections.

Cause: the agent sends all starts of a call at the same time.

Why this works: 32 at a time, over all calls. A start whose turn comes later than a second after its arrival is refused by the agent, as an order that was delayed in any other way; nothing of it was sent, so it may be placed anew at once. Stops don't wait.

TestManyStartsAreSentInTurn fails before ("4096 at once", and no start is ever refused as delayed).

Ruled out: a longer startTimeout, which would keep a single lost answer longer.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,6 +38,9 @@
 	stopTimeout = 400 * time.Millisecond
 	// maxStartDelay is the longest time between the arrival of a start and its last try. The tries take 0.75 s.
 	maxStartDelay = time.Second
+	// maxConcurrentStarts bounds the starts that are sent to the worker at a time. Hundreds at once take longer than
+	// startTimeout, and each unanswered one is sent again. A worker takes 64 connections.
+	maxConcurrentStarts = 32
 	// maxListsAge is the age, counted from the poll's request, from which the worker's lists are too old to send it a
 	// start. It is the age at which the leader places nothing new on the worker either. Polls take at most pollTimeout.
 	maxListsAge = 1500 * time.Millisecond
@@ -66,6 +69,8 @@
 	changed chan struct{}
 	// wake ends the pause between two polls of the worker.
 	wake chan struct{}
+	// startSlots holds a value for each start that is being sent; nil until it is first needed.
+	startSlots chan struct{}
 	// version numbers the states of the report; publish raises it.
 	version uint64
 	// fence is the highest fence that a leader has sent, 0 before the first call.
@@ -415,8 +420,14 @@
 func (a *Agent) executeOrders(ctx context.Context, request SyncRequest) []Result {
 	results := make([]Result, len(request.Starts)+len(request.Stops))
 	var wg sync.WaitGroup
+	arrivedAt := a.bootTime()
+	slots := a.startSlotsChannel()
 	for i, st := range request.Starts {
-		wg.Go(func() { results[i] = a.startAttempt(ctx, request, st) })
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			results[i] = a.startAttempt(ctx, request, st, arrivedAt)
+		})
 	}
 	for i, id := range request.Stops {
 		wg.Go(func() { results[len(request.Starts)+i] = a.stopAttempt(ctx, request, id) })
@@ -425,6 +436,15 @@
 	return results
 }
 
+func (a *Agent) startSlotsChannel() chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.startSlots == nil {
+		a.startSlots = make(chan struct{}, maxConcurrentStarts)
+	}
+	return a.startSlots
+}
+
 func (a *Agent) stopAttempt(ctx context.Context, request SyncRequest, id descriptor.AttemptID) Result {
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
@@ -445,11 +465,10 @@
 	return "no"
 }
 
-// startAttempt sends a start until the worker answers, at most maxStartTries times. It refuses the start itself when it
-// may no longer send it.
-func (a *Agent) startAttempt(ctx context.Context, request SyncRequest, start Start) Result {
+// startAttempt sends a start, which arrived at the given boot time, until the worker answers, at most maxStartTries times.
+// It refuses the start itself when it may no longer send it.
+func (a *Agent) startAttempt(ctx context.Context, request SyncRequest, start Start, arrivedAt time.Duration) Result {
 	result := Result{AttemptID: start.AttemptID}
-	arrivedAt := a.bootTime()
 	var err error
 	unanswered := false
 	for try := range maxStartTries {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -596,3 +596,43 @@
 	_, err := DecodeSyncRequest([]byte("not CBOR"))
 	assert.ErrorIs(t, err, ErrCall)
 }
+
+// TestManyStartsAreSentInTurn guards against a call with many starts that floods the worker, so that it answers none of
+// them in time, and against a start whose turn comes too late and that is sent all the same, or counts as unknown.
+func TestManyStartsAreSentInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		agent := newAgent(t, worker)
+		var active, most, tries atomic.Int64
+		agent.StartAttempt = func(context.Context, descriptor.Incarnation, descriptor.Fence, Start) (StartAnswer, error) {
+			n := active.Add(1)
+			defer active.Add(-1)
+			tries.Add(1)
+			if n > most.Load() {
+				most.Store(n)
+			}
+			time.Sleep(20 * time.Millisecond)
+			return StartAnswer{Clock: worker.clock()}, nil
+		}
+		agent.Sync(t.Context(), SyncRequest{Fence: 1})
+		time.Sleep(time.Second)
+		call := SyncRequest{Fence: 1, Incarnation: incarnation}
+		for i := range 4096 {
+			call.Starts = append(call.Starts, Start{AttemptID: attemptID(i, 1)})
+		}
+		began := time.Now()
+		report := agent.Sync(t.Context(), call)
+		assert.Assert(t, time.Since(began) < 1100*time.Millisecond)
+		assert.Assert(t, most.Load() <= maxConcurrentStarts, "%d at once", most.Load())
+		started := 0
+		for _, r := range report.Results {
+			if r.Started {
+				started++
+				continue
+			}
+			assert.Equal(t, r.Refused, descriptor.RefusedDelayed)
+		}
+		assert.Equal(t, int64(started), tries.Load())
+		assert.Assert(t, started >= 40*maxConcurrentStarts, "%d started", started)
+	})
+}
