planner: a gang counts one failure for each attempt

Cause: each member that was listed as failed raised the count that all members share. Two workers that fail at the same time list two.

Why this works: the attempts of gangs that count as failed are part of the stored progress, so the second member's end changes nothing, also after a change of leader between the two. The field is optional like GivenUp.

Evidence: TestGangFailsOncePerAttempt failed before (3 for 1).

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -867,3 +867,27 @@
 		})
 	}
 }
+
+// TestGangFailsOncePerAttempt guards against a workload that fails before its last attempt because each member of a gang
+// that was listed as failed counted, also after a change of leader between two of these ends.
+func TestGangFailsOncePerAttempt(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		f := newFixture(t, 2)
+		f.submit("job", 3, 8, 5*time.Second, gang)
+		for n := 1; n <= 3; n++ {
+			f.advance(2 * suspectWait)
+			assert.Equal(t, len(f.runningNodes("job")), 3, "attempt %d", n)
+			for i := range 3 {
+				node, id := f.attemptOf("job", i)
+				f.endAttempt(node, id, descriptor.OutcomeFailed)
+				f.reportNode(node)
+				if newLeader && i == 0 {
+					takeOver(t, f)
+				}
+			}
+			assert.Equal(t, firstTask(f.core, "job").FailedAttempts, n)
+		}
+		f.planAndApply()
+		assert.Equal(t, f.jobState("job"), JobFailed)
+	}
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -156,6 +156,8 @@
 	// GivenUp holds the attempts of tasks that are not done which were given up without a listed end. If a worker lists
 	// the end of one after all, it counts like any other.
 	GivenUp []TaskAttempt `cbor:",omitempty"`
+	// FailedGangs holds the attempts of gangs that count as failed, each by the member with index 0.
+	FailedGangs []TaskAttempt `cbor:",omitempty"`
 }
 
 // TaskAttempt identifies an attempt of one workload.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -487,7 +487,9 @@
 	for s := range j.record.Workload.Steps {
 		delete(j.gangPresences, stepOf{k, s})
 	}
-	j.progress.GivenUp = slices.DeleteFunc(j.progress.GivenUp, func(o TaskAttempt) bool { return o.Occurrence == k })
+	ofOccurrence := func(a TaskAttempt) bool { return a.Occurrence == k }
+	j.progress.GivenUp = slices.DeleteFunc(j.progress.GivenUp, ofOccurrence)
+	j.progress.FailedGangs = slices.DeleteFunc(j.progress.FailedGangs, ofOccurrence)
 	if j.firstOpenOccurrence() < j.record.Workload.Occurrences() {
 		return
 	}
@@ -498,7 +500,7 @@
 }
 
 // handleFailed processes a failed attempt; the workload fails with the task's MaxAttempts-th failure. A gang fails as a
-// whole, so its members share one count.
+// whole, so its members share one count, and several that fail in one attempt count once.
 func (c *Core) handleFailed(j *job, e descriptor.AttemptEnd, t *Task, w *worker, now time.Time) {
 	j.failuresByWorker[stepWorker{e.Task.Step, w.incarnation.Worker}]++
 	if j.failedSteps == nil {
@@ -506,6 +508,14 @@
 	}
 	j.failedSteps[e.Task.Step] = true
 	c.recordFailure(w, j, now)
+	if j.step(e.Task.Step).Gang {
+		gang := taskAttemptOf(e.AttemptID)
+		gang.Index = 0
+		if slices.Contains(j.progress.FailedGangs, gang) {
+			return
+		}
+		j.progress.FailedGangs = append(j.progress.FailedGangs, gang)
+	}
 	failedAttempts := t.FailedAttempts + 1
 	t.FailedAttempts = failedAttempts
 	if j.step(e.Task.Step).Gang {
