--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -52,7 +52,9 @@
 type caller struct {
 	deployment *deployment
 	random     *rand.Rand
-	index      int
+	// shapes is the random source of reshape. It is another one than random, so that known seeds keep their jobs.
+	shapes *rand.Rand
+	index  int
 	// jobCount is the number of jobs created so far. It makes the ids of the caller's jobs unique.
 	jobCount int
 	// clients holds an HTTP client with kept-alive connections for each entry, in the order of deployment.entries.
@@ -81,7 +83,7 @@
 // newCaller returns a caller that uses the random source r. The index distinguishes its job ids from those of other
 // callers.
 func newCaller(dp *deployment, r *rand.Rand, index int) *caller {
-	c := &caller{deployment: dp, random: r, index: index}
+	c := &caller{deployment: dp, random: r, shapes: rand.New(rand.NewPCG(dp.Seed, uint64(index)+1000)), index: index}
 	for range dp.entries {
 		c.clients = append(c.clients, &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext, MaxIdleConnsPerHost: 4,
@@ -139,6 +141,7 @@
 		addStep(descriptor.Step{Count: 2, Size: size})
 		addStep(descriptor.Step{Count: 1, Size: size, After: []int{0}})
 	}
+	c.reshape(job)
 	c.deployment.fleet.AddJob(job)
 	s := &submission{job: job, queue: c.random.IntN(2), refused: true}
 	if c.random.Float64() < cancelShare {
@@ -147,6 +150,31 @@
 	return s
 }
 
+// manyTasks is the number of tasks of a wide job. A worker lists 500 ended ones at a time.
+const manyTasks = 700
+
+// reshape turns some jobs into ones that are at a limit: their tasks end before a lost answer to their start is noticed,
+// run at several times that are no whole seconds, or are more than a worker lists at a time.
+func (c *caller) reshape(j *emulator.Job) {
+	step := descriptor.Step{Count: 1, Size: descriptor.Capacity{Cores: 50, Memory: 64}}
+	milliseconds := func(n int) time.Duration { return time.Duration(c.shapes.IntN(n)) * time.Millisecond }
+	runTime := 20*time.Millisecond + milliseconds(200)
+	switch n := c.shapes.IntN(40); {
+	case n < 10:
+		step.Count += c.shapes.IntN(3)
+		j.Fails = c.shapes.IntN(2) == 0
+	case n < 14:
+		j.Times, j.FirstDue, j.Interval = 1+c.shapes.IntN(3), time.Now().Add(milliseconds(3000)), milliseconds(1500)
+	case n < 15:
+		step.Count, j.Fails = manyTasks, false
+		runTime += milliseconds(1000)
+	default:
+		return
+	}
+	step.RunTime = runTime
+	j.Steps, j.RunTimes = []descriptor.Step{step}, []time.Duration{runTime}
+}
+
 // submit sends a job until it is accepted, gets an unexpected answer or runs out of tries. Refusals are retried. It
 // reports whether the job may have been accepted; after an unexpected answer, which is a violation, it returns false.
 func (c *caller) submit(ctx context.Context, s *submission) bool {
--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -201,6 +201,26 @@
 	return injected
 }
 
+const (
+	// meanSilenceInterval is the mean time between two faults of injectSilences.
+	meanSilenceInterval = 1200 * time.Millisecond
+	// silenceTime is how long after such a fault the agent counts as faulty: its calls to the worker wait for their time
+	// limits.
+	silenceTime = 2 * time.Second
+)
+
+// injectSilences silences the connections between an agent and its worker as a start arrives there, which is carried out
+// and not answered, again and again until ctx ends.
+func (dp *deployment) injectSilences(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		a := randomElement(r, dp.agents)
+		a.faultHistory.add(silenceTime)
+		a.orderRelay.silenceAt([]byte("POST /v1/run-start"))
+		pause(ctx, time.Duration(r.ExpFloat64()*float64(meanSilenceInterval)))
+		a.orderRelay.silenceAt(nil)
+	}
+}
+
 // endFaults waits until the last fault with a drawn duration has ended. It then clears the faults of the store, relays
 // and workers and resumes all processes, in case a fault is still in effect.
 func (dp *deployment) endFaults() {
--- a/internal/soaker/relay.go
+++ b/internal/soaker/relay.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -38,8 +39,10 @@
 	target   string
 	listener net.Listener
 
-	mu          sync.Mutex
-	fault       relayFault
+	mu    sync.Mutex
+	fault relayFault
+	// silenceMark, if not empty, silences the open connections once when it occurs in what a client sends.
+	silenceMark []byte
 	connections map[*connection]bool
 	// changed is closed and replaced by each call of inject, to wake blocked connections.
 	changed chan struct{}
@@ -89,6 +92,27 @@
 	r.changed = make(chan struct{})
 }
 
+// silenceAt silences the connections that are open when mark next occurs in what a client sends; what has arrived until
+// then is passed on. An empty mark cancels that.
+func (r *relay) silenceAt(mark []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silenceMark = mark
+}
+
+// silenceIfMarked silences the open connections if data holds the silenceMark.
+func (r *relay) silenceIfMarked(data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.silenceMark) == 0 || !bytes.Contains(data, r.silenceMark) {
+		return
+	}
+	r.silenceMark = nil
+	for cn := range r.connections {
+		cn.silenced = true
+	}
+}
+
 // accept serves client connections until the listener is closed.
 func (r *relay) accept() {
 	for {
@@ -145,6 +169,9 @@
 				cn.reset()
 				return
 			}
+			if cut == relayCutToTarget {
+				r.silenceIfMarked(buffer[:n])
+			}
 		}
 		if err != nil {
 			// Only this direction has ended; the other one stays open.
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -7,8 +7,7 @@
 //
 // Connections go through relays that delay, cut, reset or silence them. Processes are stopped, paused, killed and
 // restarted by signals. Package emulator provides the platform's store and workers, with faults of their own. The
-// clocks of the emulated workers run up to 2 % slow. Wall clocks get no faults: the programs use wall-clock time only
-// for the due times of workloads, and the soak run submits no workloads with due times.
+// clocks of the emulated workers run up to 2 % slow. Wall clocks get no faults.
 //
 // An entry is a process that serves callers and can become the leader, which schedules. An agent is a process that
 // passes the leader's orders to one worker. An evacuation takes a failure domain out of service for a time. An attempt
@@ -161,6 +160,7 @@
 		c := newCaller(dp, rand.New(rand.NewPCG(dp.Seed, uint64(i)+100)), i)
 		callers.Go(func() { c.run(loadCtx, ctx) })
 	}
+	background.Go(func() { dp.injectSilences(loadCtx, rand.New(rand.NewPCG(dp.Seed, 2))) })
 	injected := dp.injectFaults(loadCtx)
 	dp.endFaults()
 	callers.Wait()
