planner: bound what is kept of given-up attempts

GivenUp is part of a stored document and grew with each loss of a worker, and since with each refused start, so that the progress of a task that never ends would outgrow the store's limit for a value. It now holds the newest eight attempts of a task, and no refused ones: a refusal that reaches the planner holds for every try of the start.

TestGivenUpAttemptsAreBounded failed before (80 entries for 16, by its bound).

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -758,6 +758,24 @@
 	}
 }
 
+// TestGivenUpAttemptsAreBounded guards against a document that grows with each loss of a worker until it is too large for
+// the store.
+func TestGivenUpAttemptsAreBounded(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("job", 2, 1, time.Minute)
+	for range 5 * maxGivenUp {
+		f.advance(2 * suspectWait)
+		assert.Equal(t, len(f.runningNodes("job")), 2)
+		for _, node := range f.runningNodes("job") {
+			f.core.RemoveNode(node, f.now, "test")
+			clear(f.running[node])
+		}
+	}
+	p, _ := f.core.Progress("job")
+	assert.Equal(t, len(p.GivenUp), 2*maxGivenUp)
+	assert.Equal(t, p.GivenUp[len(p.GivenUp)-1].Attempt, 5*maxGivenUp)
+}
+
 // TestSuccessAfterGivingUpCounts guards against a task that runs on, or again, although an attempt that had been given up
 // was listed as successful and acknowledged.
 func TestSuccessAfterGivingUpCounts(t *testing.T) {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -153,7 +153,7 @@
 	// Change is the number of the write within the leader's term.
 	Change      int64
 	Occurrences map[int]*Occurrence `cbor:",omitempty"`
-	// GivenUp holds the attempts of tasks that are not done which were given up without a listed end. If a worker lists
+	// GivenUp holds the newest attempts of tasks that are not done which were given up without a listed end. If a worker lists
 	// the end of one after all, it counts like any other.
 	GivenUp []TaskAttempt `cbor:",omitempty"`
 	// FailedGangs holds the attempts of gangs that count as failed, each by the member with index 0.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -268,16 +268,36 @@
 	return names
 }
 
+// maxGivenUp bounds the attempts of one task in GivenUp, which is part of a stored document.
+const maxGivenUp = 8
+
 // giveUp removes an attempt that is not running any more although its end was not listed. The worker may list the end
 // later, so the attempt is noted in GivenUp.
 func (c *Core) giveUp(r *attempt, now time.Time, reason string) {
 	if r.current() && r.job.nonfinal() && !r.job.taskDone(r.id.Task) && !r.job.step(r.id.Task.Step).Service {
-		r.job.progress.GivenUp = append(r.job.progress.GivenUp, taskAttemptOf(r.id))
+		r.job.noteGivenUp(r.id)
 		c.dirty[r.job.id()] = true
 	}
 	c.removeAttempt(r, now, reason)
 }
 
+// noteGivenUp adds an attempt to GivenUp, in the place of the oldest one of its task if there are maxGivenUp.
+func (j *job) noteGivenUp(id descriptor.AttemptID) {
+	x := taskAttemptOf(id)
+	sameTask := func(o TaskAttempt) bool { return o.Occurrence == x.Occurrence && o.Step == x.Step && o.Index == x.Index }
+	count := 0
+	for _, o := range j.progress.GivenUp {
+		if sameTask(o) {
+			count++
+		}
+	}
+	if count >= maxGivenUp {
+		oldest := slices.IndexFunc(j.progress.GivenUp, sameTask)
+		j.progress.GivenUp = slices.Delete(j.progress.GivenUp, oldest, oldest+1)
+	}
+	j.progress.GivenUp = append(j.progress.GivenUp, x)
+}
+
 // removeAttempt removes an attempt that is not running any more. Its task becomes pending again, unless it has ended
 // or was placed anew.
 func (c *Core) removeAttempt(r *attempt, now time.Time, reason string) {
@@ -315,7 +335,7 @@
 		w.suspectUntil = now.Add(suspectPeriod)
 	}
 	if r := w.attempts[id]; r != nil && !r.confirmed {
-		c.giveUp(r, now, "start refused: "+string(refusal))
+		c.removeAttempt(r, now, "start refused: "+string(refusal))
 	}
 }
 
