--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -284,7 +284,9 @@
 // noteGivenUp adds an attempt to GivenUp, in the place of the oldest one of its task if there are maxGivenUp.
 func (j *job) noteGivenUp(id descriptor.AttemptID) {
 	x := taskAttemptOf(id)
-	sameTask := func(o TaskAttempt) bool { return o.Occurrence == x.Occurrence && o.Step == x.Step && o.Index == x.Index }
+	sameTask := func(o TaskAttempt) bool {
+		return o.Occurrence == x.Occurrence && o.Step == x.Step && o.Index == x.Index
+	}
 	count := 0
 	for _, o := range j.progress.GivenUp {
 		if sameTask(o) {
