planner: ends listed after the hold deadline do not count

The platform never takes note of an end whose worker's lease lapsed before its acknowledgement ("that stands for good"), and its task has been placed elsewhere by then: the present run would be stopped, and the work thrown away.

RemoveNode, for a worker that has left, and ExpireNode, for a hold that has passed, are now two calls; only the former notes its attempts.

Evidence: TestEndsAfterExpiryDoNotCount fails when ExpireNode notes them (state Done for Running).

--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -536,12 +536,12 @@
 				waitingSince = l.waitingSince
 			}
 			if now.Sub(waitingSince) > time.Duration(maxClockSlowdown*float64(t.leader.MaxHold+t.leader.HoldSlack))+leaderLeaseTTL {
-				t.core.RemoveNode(node, now, "no report in this term, all hold deadlines have passed")
+				t.core.ExpireNode(node, now, "no report in this term, all hold deadlines have passed")
 			}
 			continue
 		}
 		if l.holdExpired(now) {
-			t.core.RemoveNode(node, now, "no report, hold deadline has passed")
+			t.core.ExpireNode(node, now, "no report, hold deadline has passed")
 		}
 	}
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -717,6 +717,26 @@
 	return node, first
 }
 
+// TestEndsAfterExpiryDoNotCount guards against an end that counts although the worker's hold deadline passed before it was
+// acknowledged: the platform does not take note of it any more, and the task runs elsewhere.
+func TestEndsAfterExpiryDoNotCount(t *testing.T) {
+	for _, outcome := range []descriptor.Outcome{descriptor.OutcomeDone, descriptor.OutcomeFailed, descriptor.OutcomeLeaseExpired} {
+		f := newFixture(t, 1)
+		f.submit("job", 1, 1, 5*time.Second)
+		f.planAndApply()
+		node, first := f.attemptOf("job", 0)
+		f.core.ExpireNode(node, f.now, "test")
+		f.planAndApply()
+		f.endAttempt(node, first, outcome)
+		f.reportAll()
+		f.planAndApply()
+		assert.Equal(t, firstTask(f.core, "job").FailedAttempts, 0)
+		assert.Equal(t, f.jobState("job"), JobRunning)
+		_, second := f.attemptOf("job", 0)
+		assert.Equal(t, second.Attempt, 2)
+	}
+}
+
 // takeOver replaces the fixture's core by one that has loaded the stored documents of the only workload.
 func takeOver(t *testing.T, f *fixture) {
 	t.Helper()
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -244,15 +244,24 @@
 	return w.incarnation, w.recordedSeq
 }
 
-// RemoveNode removes all attempts on a node. The caller must know that none of them can still run: the worker has left,
-// or the deadline until which it may keep its attempts has passed.
+// RemoveNode removes all attempts on a node whose worker has left, so that none of them can still run.
 func (c *Core) RemoveNode(node string, now time.Time, reason string) {
+	c.removeNode(node, func(r *attempt) { c.giveUp(r, now, reason) })
+}
+
+// ExpireNode removes all attempts on a node where the deadline until which the worker may keep its attempts has passed.
+// Ends that the worker lists later do not count, since none of them was acknowledged before that deadline.
+func (c *Core) ExpireNode(node string, now time.Time, reason string) {
+	c.removeNode(node, func(r *attempt) { c.removeAttempt(r, now, reason) })
+}
+
+func (c *Core) removeNode(node string, remove func(*attempt)) {
 	w := c.workers[node]
 	if w == nil {
 		return
 	}
 	for _, r := range w.sortedAttempts() {
-		c.giveUp(r, now, reason)
+		remove(r)
 	}
 	w.statusKnown = false
 }
@@ -422,20 +431,22 @@
 	}
 }
 
-// handleLateEnd processes the end of an attempt that is not the current one of its task, which is not done. A success
-// completes the task, whichever attempt it belongs to. A failure counts only if the attempt was given up: otherwise it was
-// counted before, and is listed again because its acknowledgement was lost or a former leader recorded it.
+// handleLateEnd processes the end of an attempt that is not the current one of its task, which is not done. It counts if
+// the attempt was given up. Otherwise it was counted before, and is listed again because its acknowledgement was lost or a
+// former leader recorded it, or the hold deadline has passed since.
 func (c *Core) handleLateEnd(w *worker, j *job, e descriptor.AttemptEnd, t *Task, now time.Time) {
 	if !j.nonfinal() || j.step(e.Task.Step).Service || e.Attempt > t.Attempt {
 		return
 	}
-	givenUp := j.takeGivenUp(e.AttemptID)
-	if e.Outcome != descriptor.OutcomeDone && !(givenUp && e.Outcome == descriptor.OutcomeFailed) {
+	if !j.takeGivenUp(e.AttemptID) {
+		return
+	}
+	c.dirty[j.id()] = true
+	if e.Outcome != descriptor.OutcomeDone && e.Outcome != descriptor.OutcomeFailed {
 		return
 	}
 	c.logEvent("attempt ended after it was given up", j.id(), "task", e.Task, "run", e.Attempt, "node", w.node, "outcome", e.Outcome,
 		"fails", t.FailedAttempts, "newest", t.Attempt)
-	c.dirty[j.id()] = true
 	if e.Outcome == descriptor.OutcomeFailed {
 		c.handleFailed(j, e, t, w, now)
 		return
