--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -203,7 +203,7 @@
 }
 
 // Load adds a workload that was read from the store. Its placed tasks count as running until a report of the worker, a
-// new incarnation of the worker RemoveNode or ExpireNode shows otherwise.
+// new incarnation of the worker, RemoveNode or ExpireNode shows otherwise.
 func (c *Core) Load(r Record, p Progress, now time.Time) {
 	c.currentJob = r.Workload.ID
 	j := c.newJob(r, p, now)
