--- a/review/_standin-2/link.go
+++ b/review/_standin-2/link.go
@@ -66,12 +66,15 @@
 	target   string
 	listener net.Listener
 	mu       sync.Mutex
-	count    int
+	// count numbers the connections, and open is how many are open.
+	count, open int
 	// asked receives the number of a connection on which a request has just passed, if somebody waits for it.
 	asked chan int
 	// stalled is the number of the connection of which no answer passes before stalledUntil.
 	stalled      int
 	stalledUntil time.Time
+	// silentUpTo is the highest number of the connections that have gone silent for good.
+	silentUpTo int
 }
 
 func newLink(listen, target string) *link {
@@ -103,6 +106,21 @@
 	k.stalled, k.stalledUntil = connection, until
 }
 
+// silence lets all open connections go silent for good, without a reset. New ones work. It returns how many there were.
+func (k *link) silence() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silentUpTo = k.count
+	return k.open
+}
+
+// silent reports whether a connection has gone silent.
+func (k *link) silent(n int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return n <= k.silentUpTo
+}
+
 func (k *link) pass(c net.Conn, n int) {
 	defer c.Close()
 	s, err := net.DialTimeout("tcp", k.target, time.Second)
@@ -110,10 +128,21 @@
 		return
 	}
 	defer s.Close()
+	k.mu.Lock()
+	k.open++
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		k.open--
+		k.mu.Unlock()
+	}()
 	go func() {
 		buffer := make([]byte, 64<<10)
 		for {
 			m, err := c.Read(buffer)
+			if k.silent(n) && err == nil {
+				continue
+			}
 			if m > 0 {
 				if _, err := s.Write(buffer[:m]); err != nil {
 					return
@@ -134,6 +163,11 @@
 	buffer := make([]byte, 64<<10)
 	for {
 		m, err := s.Read(buffer)
+		if k.silent(n) {
+			// The client sees neither an answer nor an end.
+			time.Sleep(time.Minute)
+			return
+		}
 		if m > 0 {
 			k.mu.Lock()
 			until := time.Time{}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -19,7 +19,7 @@
 // cases maps the name of a case to its function, which returns whether the rule was broken, and why.
 var cases = map[string]func(d *deployment) (bool, string){
 	"late-leave": lateLeave, "late-report": lateReport, "cancel-before-write": cancelBeforeWrite, "late-heartbeat": lateHeartbeat,
-	"guarantee-split": guaranteeSplit,
+	"silent-stop": silentStop,
 }
 
 // trouble is false if the disruption is to be left out.
