--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -216,7 +216,7 @@
 	return false, "no task of the cancelled job was started later than cancel_ms"
 }
 
-// lateReport: a worker crashes and starts again, while one connection between the leader and its agent stalls for a second.
+// lateReport: a worker crashes and a new one starts in its place, while one connection between the leader and its agent stalls for a second.
 func lateReport(d *deployment) (bool, string) {
 	var links []*link
 	d.launch(3, []string{"r1-1", "r1-2", "r1-3"}, atelier, func(i int, address string) string {
@@ -234,7 +234,7 @@
 		}
 		w.end("lost with the worker")
 		time.Sleep(time.Until(crashed.Add(550 * time.Millisecond)))
-		w.live(w.id)
+		w.live(fmt.Sprintf("i-1-%d", round))
 		go w.beatLoop()
 		time.Sleep(time.Until(crashed.Add(600 * time.Millisecond)))
 		id := newID()
--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -47,9 +48,11 @@
 	servers []*http.Server
 	// workerLinks, if wanted, lie between the agents and the workers on their machines.
 	withWorkerLinks bool
-	workerLinks     []*link
-	closeMu         sync.Mutex
-	closed          bool
+	// statusS is the bound status_s; 0 stands for the site's 120.
+	statusS     int
+	workerLinks []*link
+	closeMu     sync.Mutex
+	closed      bool
 }
 
 // process is one process of the system.
@@ -223,7 +226,7 @@
 		"port_range": []int{7000, 7015}, "bootstrap": true, "heartbeat_ms": 1500, "orders": "call", "discovery": "local", "entry": "vip",
 		"bounds": map[string]any{
 			"contact_ms": 4000, "ack_ms": 5000, "drain_ms": 2500, "grace_s": 6, "config_apply_ms": 2500, "max_hold_ms": 10000, "stop_grace_ms": 900,
-			"gang_timeout_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "far_factor": 3,
+			"gang_timeout_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": cmp.Or(d.statusS, 120), "far_factor": 3,
 			"checkpoint_s": 0.5, "restore_ms": 250, "reclaim_ms": 3400,
 		},
 		"platform": map[string]any{"address": store, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "retention_s": 20, "value_bytes": 1048576, "min_ttl_ms": 1000},
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -1,4 +1,4 @@
-// Command review-2 plays the cases 6 to 10 of the review. It starts the node program as separate processes on loopback
+// Command review-2 plays the cases 6 to 10 of the review, and the trials of trials.go. It starts the node program as separate processes on loopback
 // addresses, together with stand-ins for the platform's store, its workers and its clients, writes what was sent,
 // answered and run to record.txt in the case's folder, and judges the rule that the case names by that.
 //
@@ -20,6 +20,8 @@
 var cases = map[string]func(d *deployment) (bool, string){
 	"late-leave": lateLeave, "late-report": lateReport, "cancel-before-write": cancelBeforeWrite, "late-heartbeat": lateHeartbeat,
 	"silent-stop": silentStop,
+	// Trials that are no cases.
+	"guarantee-split": guaranteeSplit, "rack-wait": rackWait, "sweep-stall": sweepStall,
 }
 
 // trouble is false if the disruption is to be left out.
@@ -30,11 +32,16 @@
 	mu      sync.Mutex
 	file    *os.File
 	startAt time.Time
+	// quiet leaves lines out, as long as it is set.
+	quiet bool
 }
 
 func (r *recorder) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.quiet {
+		return
+	}
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.startAt).Seconds(), fmt.Sprintf(format, args...))
 }
 
