--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -96,48 +96,6 @@
 	}
 }
 
-// lateHeartbeat: a heartbeat that says ready arrives after the worker has reported that it drains.
-func lateHeartbeat(d *deployment) (bool, string) {
-	d.launch(3, []string{"r1-1", "r1-2"}, atelier, nil)
-	// Worker 2 is full, so that the next job waits for worker 1.
-	full := newID()
-	d.submit(0, 2, "atelier", full, 1, 8, 100*time.Second, `,"data_rack":"r1-2"`)
-	d.await("the first job runs", 5*time.Second, func() bool { return len(d.history.runsOf(full)) == 1 })
-	d.rec.add("job %s runs on worker %s", full, d.history.runsOf(full)[0].worker)
-	w := d.workers[0]
-	for _, x := range d.workers {
-		if x.name != d.history.runsOf(full)[0].worker {
-			w = x
-		}
-	}
-	_, body := w.beatBody()
-	what := "worker " + w.name + ": heartbeat that says ready"
-	if trouble {
-		go w.lateCall("/v1/Instances.Heartbeat/"+w.id, body, 7*time.Second, what)
-	} else {
-		w.rec.add("%s: acknowledged %v", what, w.call("/v1/Instances.Heartbeat/"+w.id, body))
-	}
-	time.Sleep(1200 * time.Millisecond)
-	w.setDraining(2500 * time.Millisecond)
-	if !w.beat() {
-		panic(cannotRun("draining not acknowledged"))
-	}
-	acked := time.Now()
-	next := newID()
-	d.submit(0, 2, "atelier", next, 1, 8, 20*time.Second, "")
-	// The worker goes on serving for a little longer than drain_ms, then leaves.
-	time.Sleep(time.Until(acked.Add(9 * time.Second)))
-	w.leave(0)
-	w.end("lost with the worker")
-	for _, r := range d.history.runsOf(next) {
-		if late := r.start.Sub(acked); r.worker == w.name && late > 2500*time.Millisecond {
-			return true, fmt.Sprintf("DRAIN: run %d of %s was started on %s %s after the acknowledgement that it drains; drain_ms is 2.5 s; the run %s after %s",
-				r.number, r.task, w.name, seconds(late), "was "+r.how, seconds(r.end.Sub(r.start)))
-		}
-	}
-	return false, "nothing was started on the draining worker"
-}
-
 // cancelBeforeWrite: an entry is killed while the store has its write of a job and has not answered; the client cancels
 // the job at another entry.
 func cancelBeforeWrite(d *deployment) (bool, string) {
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -1,4 +1,4 @@
-// Command review-2 plays the cases 6 to 10 of the review, and the trials of trials.go. It starts the node program as separate processes on loopback
+// Command review-2 plays the cases 6, 7, 9 and 10 of the review, and the trials of trials.go. It starts the node program as separate processes on loopback
 // addresses, together with stand-ins for the platform's store, its workers and its clients, writes what was sent,
 // answered and run to record.txt in the case's folder, and judges the rule that the case names by that.
 //
@@ -18,10 +18,10 @@
 
 // cases maps the name of a case to its function, which returns whether the rule was broken, and why.
 var cases = map[string]func(d *deployment) (bool, string){
-	"late-leave": lateLeave, "late-report": lateReport, "cancel-before-write": cancelBeforeWrite, "late-heartbeat": lateHeartbeat,
+	"late-leave": lateLeave, "late-report": lateReport, "cancel-before-write": cancelBeforeWrite,
 	"silent-stop": silentStop,
 	// Trials that are no cases.
-	"guarantee-split": guaranteeSplit, "rack-wait": rackWait, "sweep-stall": sweepStall,
+	"guarantee-split": guaranteeSplit, "rack-wait": rackWait, "late-heartbeat": lateHeartbeat, "odd-heartbeats": oddHeartbeats, "sweep-stall": sweepStall,
 }
 
 // trouble is false if the disruption is to be left out.
--- a/review/_standin-2/trials.go
+++ b/review/_standin-2/trials.go
@@ -37,6 +37,79 @@
 	return true, fmt.Sprintf("RECLAIM: the job's only task has not begun %s after the acknowledgement, its state is %q; reclaim_ms is 3.4 s", seconds(time.Since(accepted)), a.state)
 }
 
+// lateHeartbeat: a heartbeat that says ready arrives after the worker has reported that it drains.
+func lateHeartbeat(d *deployment) (bool, string) {
+	d.launch(3, []string{"r1-1", "r1-2"}, atelier, nil)
+	// Worker 2 is full, so that the next job waits for worker 1.
+	full := newID()
+	d.submit(0, 2, "atelier", full, 1, 8, 100*time.Second, `,"data_rack":"r1-2"`)
+	d.await("the first job runs", 5*time.Second, func() bool { return len(d.history.runsOf(full)) == 1 })
+	d.rec.add("job %s runs on worker %s", full, d.history.runsOf(full)[0].worker)
+	w := d.workers[0]
+	for _, x := range d.workers {
+		if x.name != d.history.runsOf(full)[0].worker {
+			w = x
+		}
+	}
+	_, body := w.beatBody()
+	what := "worker " + w.name + ": heartbeat that says ready"
+	if trouble {
+		go w.lateCall("/v1/Instances.Heartbeat/"+w.id, body, 7*time.Second, what)
+	} else {
+		w.rec.add("%s: acknowledged %v", what, w.call("/v1/Instances.Heartbeat/"+w.id, body))
+	}
+	time.Sleep(1200 * time.Millisecond)
+	w.setDraining(2500 * time.Millisecond)
+	if !w.beat() {
+		panic(cannotRun("draining not acknowledged"))
+	}
+	acked := time.Now()
+	next := newID()
+	d.submit(0, 2, "atelier", next, 1, 8, 20*time.Second, "")
+	// The worker goes on serving for a little longer than drain_ms, then leaves.
+	time.Sleep(time.Until(acked.Add(9 * time.Second)))
+	w.leave(0)
+	w.end("lost with the worker")
+	for _, r := range d.history.runsOf(next) {
+		if late := r.start.Sub(acked); r.worker == w.name && late > 2500*time.Millisecond {
+			return true, fmt.Sprintf("DRAIN: run %d of %s was started on %s %s after the acknowledgement that it drains; drain_ms is 2.5 s; the run %s after %s",
+				r.number, r.task, w.name, seconds(late), "was "+r.how, seconds(r.end.Sub(r.start)))
+		}
+	}
+	return false, "nothing was started on the draining worker"
+}
+
+// oddHeartbeats: heartbeats of other writers reach an agent; its worker must stay in use.
+func oddHeartbeats(d *deployment) (bool, string) {
+	d.launch(3, []string{"r1-1", "r1-2", "r1-3"}, atelier, nil)
+	w := d.workers[0]
+	send := func(id, body string) {
+		w.rec.add("heartbeat of another writer for %s: %.160s: acknowledged %v", id, body, w.call("/v1/Instances.Heartbeat/"+id, []byte(body)))
+	}
+	if trouble {
+		whole := func(service, state string, born int64, gpu int) string {
+			return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,"capacity":{"cpu":64000,"mem_mb":131072,"gpu":%d},"labels":["a","r1-1"],"clock_ms":1,"seq":1,"born":%d}`,
+				service, w.app, w.zone, state, gpu, born)
+		}
+		send(w.id, whole("mesure", "ready", 9_000_000_000_000_000_000, 8))
+		send("i-other", whole("mesure", "ready", w.born+5000, 8))
+		send("i-other", whole("mesure", "draining", w.born+5000, 8))
+		send(w.id, whole("other", "ready", w.born, 8))
+		send(w.id, whole("mesure", "ready", w.born, -3))
+		send(w.id, whole("mesure", "away", w.born, 8))
+		send(w.id, `{"state":"ready"}`)
+		send(w.id, `[1,2`)
+	}
+	time.Sleep(6 * time.Second)
+	id := newID()
+	d.submit(0, 0, "atelier", id, 1, 8, 2*time.Second, `,"data_rack":"r1-1"`)
+	broken, why := d.watchLost(id, 20*time.Second)
+	for _, r := range d.history.runsOf(id) {
+		why += "; it ran on " + r.worker
+	}
+	return broken, why
+}
+
 // rackWait: a gang that is slower on more than one rack waits for a rack, while most of the service is idle.
 func rackWait(d *deployment) (bool, string) {
 	d.launch(3, []string{"r1-1", "r1-1", "r1-1", "r1-2", "r1-2", "r1-2", "r1-3", "r1-3", "r1-3"}, []tenant{{"atelier", 24}, {"couture", 3}}, nil)
