--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -34,8 +34,11 @@
 	// maxStartTries is the number of times that an unanswered start is sent. Repeating it is safe: if the worker already
 	// has the attempt, it answers that the attempt is started.
 	maxStartTries = 3
-	// stopTimeout bounds a stop; the leader repeats it while the worker still lists the attempt.
+	// stopTimeout bounds one try of a stop.
 	stopTimeout = 400 * time.Millisecond
+	// maxStopTries is the number of times that an unanswered stop is sent. The first try may meet a connection that has
+	// gone silent. The leader repeats the stop while the worker still lists the attempt.
+	maxStopTries = 2
 	// maxStartDelay is the longest time between the arrival of a start and its last try. The tries take 0.75 s.
 	maxStartDelay = time.Second
 	// maxConcurrentStarts bounds the starts that are sent to the worker at a time. Hundreds at once take longer than
@@ -445,17 +448,25 @@
 	return a.startSlots
 }
 
+// stopAttempt sends a stop until the worker answers, at most maxStopTries times.
 func (a *Agent) stopAttempt(ctx context.Context, request SyncRequest, id descriptor.AttemptID) Result {
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	lastClock := a.lastClock()
-	clock, err := a.StopAttempt(stopCtx, request.Incarnation, request.Fence, id)
-	if err == nil && clock < lastClock {
-		err = errNewIncarnation
-	}
-	a.Metrics.Increment("orders_total", "kind", "Stop", "answered", yesNo(!errors.Is(err, ErrNoAnswer)))
-	a.Log.Info("stop sent", "job", id.Task.Job, "task", id.Task, "run", id.Attempt, "fence", request.Fence, "err", err)
-	return Result{AttemptID: id, Stopped: err == nil, Clock: clock}
+	result := Result{AttemptID: id}
+	for try := range maxStopTries {
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		lastClock := a.lastClock()
+		clock, err := a.StopAttempt(stopCtx, request.Incarnation, request.Fence, id)
+		cancel()
+		if err == nil && clock < lastClock {
+			err = errNewIncarnation
+		}
+		result.Stopped, result.Clock = err == nil, clock
+		a.Metrics.Increment("orders_total", "kind", "Stop", "answered", yesNo(!errors.Is(err, ErrNoAnswer)))
+		a.Log.Info("stop sent", "job", id.Task.Job, "task", id.Task, "run", id.Attempt, "fence", request.Fence, "try", try+1, "err", err)
+		if !errors.Is(err, ErrNoAnswer) {
+			break
+		}
+	}
+	return result
 }
 
 func yesNo(b bool) string {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -196,6 +196,27 @@
 	})
 }
 
+// TestStopIsRetriedAfterLostAnswer guards against a stop that waits for the leader to repeat it, more than a second later,
+// because its first try met a connection that had gone silent.
+func TestStopIsRetriedAfterLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agent := newAgent(t, &fakeWorker{})
+		stopCalls := 0
+		agent.StopAttempt = func(ctx context.Context, _ descriptor.Incarnation, _ descriptor.Fence, _ descriptor.AttemptID) (descriptor.WorkerClock, error) {
+			if stopCalls++; stopCalls == 1 {
+				<-ctx.Done()
+				return 0, ErrNoAnswer
+			}
+			return 5000, nil
+		}
+		start := time.Now()
+		report := agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, Stops: []descriptor.AttemptID{attemptID(0, 1)}})
+		assert.Equal(t, stopCalls, 2)
+		assert.Assert(t, report.Results[0].Stopped)
+		assert.Assert(t, time.Since(start) < time.Second)
+	})
+}
+
 // TestUnansweredStartIsUnknown guards against a start without any answer that counts as started or refused, although it
 // may or may not have taken effect.
 func TestUnansweredStartIsUnknown(t *testing.T) {
