leader: repeat orders that were lost with a silent connection

A start whose call met a silent connection to the agent counted as unanswered: the planner found only with the start's deadline, 2.5 s later, that it was lost, and placed the task anew. With the call's own 1.3 s that exceeds what an urgent workload may wait.

Links now call through a connector, so that a failed poll retires the connections of orders too, and orders that fail on a connection of earlier calls are sent once more on a new one. The first call may have been carried out, so a refusal of the second one counts as no answer, as between the tries of a start in the agent; the worker's lists decide.

Seen to fail before: TestLostOrdersAreRepeated, without the repetition (both cases of a silent connection) and without the dropped refusals (the refused one).

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -17,6 +17,7 @@
 
 	"persimmontrail/internal/agent"
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/connector"
 	"persimmontrail/internal/planner"
 	"persimmontrail/internal/recorder"
 	"persimmontrail/pkg/descriptor"
@@ -473,6 +474,58 @@
 	})
 }
 
+// TestLostOrdersAreRepeated guards against a start that is found to be lost only when its deadline has passed, because
+// the connection to the agent had gone silent before. The first call may have been carried out nevertheless, so that a
+// refusal of the second one proves nothing, and must not place the task elsewhere.
+func TestLostOrdersAreRepeated(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		failure connector.Failure
+		result  agent.Result
+		calls   int
+		started bool
+	}{
+		{"silent connection, started", connector.Failure{Err: context.DeadlineExceeded, Sent: true, Reused: true}, agent.Result{Started: true, Clock: 2}, 2, true},
+		{"silent connection, refused", connector.Failure{Err: context.DeadlineExceeded, Sent: true, Reused: true}, agent.Result{Refused: descriptor.RefusedStaleAttempt}, 2, false},
+		{"silent agent", connector.Failure{Err: context.DeadlineExceeded, Sent: true}, agent.Result{}, 1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				leaderTerm := newLeaderTerm(t, newMemoryStore())
+				leaderTerm.linkCtx = t.Context()
+				var mu sync.Mutex
+				var calls []agent.SyncRequest
+				leaderTerm.leader.CallAgent = func(_ context.Context, _ string, s agent.SyncRequest) (agent.Report, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					if calls = append(calls, s); len(calls) == 1 {
+						return agent.Report{}, &test.failure
+					}
+					r := test.result
+					r.AttemptID = s.Starts[0].AttemptID
+					return agent.Report{Node: "n", Results: []agent.Result{r}}, nil
+				}
+				agentLink := &link{term: leaderTerm, node: "n", waitingSince: leaderTerm.startedAt}
+				leaderTerm.links["n"] = agentLink
+				leaderTerm.core.Submit(recordOf("k", descriptor.Step{Count: 1}), time.Now())
+				leaderTerm.handleReport(agentLink, agent.Report{
+					Node: "n", Fence: leaderTerm.fence, HasStatus: true, ListsCurrent: true, AllEnds: true, Status: observationOf(1, nil, nil).Status, Clock: 1,
+				}, time.Now())
+				assert.NilError(t, leaderTerm.runRound(t.Context()))
+				synctest.Wait()
+				leaderTerm.handleInbox()
+				assert.Equal(t, len(calls), test.calls)
+				p, ok := leaderTerm.core.Progress("k")
+				assert.Assert(t, ok)
+				assert.Equal(t, p.Begun, test.started)
+				assert.NilError(t, leaderTerm.runRound(t.Context()))
+				synctest.Wait()
+				assert.Equal(t, len(calls), test.calls, "the attempt counts as possible until the worker's lists decide")
+			})
+		})
+	}
+}
+
 // TestSuccessorReadsEndsPageByPage guards against tasks that a new leader runs again because their ends did not fit into
 // the first list that it read, and against ends that it acknowledges before it has read them.
 func TestSuccessorReadsEndsPageByPage(t *testing.T) {
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -13,6 +11,7 @@
 
 	"persimmontrail/internal/agent"
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/connector"
 	"persimmontrail/internal/encoder"
 	"persimmontrail/internal/planner"
 	"persimmontrail/pkg/descriptor"
@@ -74,13 +73,8 @@
 	ackedSeq int64
 }
 
-// transport is shared by all links of the process.
-var transport = &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext,
-	MaxIdleConnsPerHost: 2,
-	IdleConnTimeout:     20 * time.Second,
-	DisableCompression:  true,
-}
+// agents makes the calls of all links of the process.
+var agents = connector.Connector{DialTimeout: dialTimeout}
 
 // ctx returns the context of run. Links that are opened later and all calls with orders end with it.
 func (t *term) ctx() context.Context { return t.linkCtx }
@@ -159,7 +153,9 @@
 }
 
 // send sends orders to the agent and returns without waiting for the answer, which it passes to the term. If the orders
-// are for the link's current incarnation, they carry its hold deadline and acknowledgement.
+// are for the link's current incarnation, they carry its hold deadline and acknowledgement. Orders that were lost with a
+// connection of earlier calls are sent once more, on a new connection: orders are idempotent, and the planner would
+// take seconds to find that a start was lost.
 func (l *link) send(orders agent.SyncRequest) {
 	l.mu.Lock()
 	if l.incarnation == orders.Incarnation {
@@ -169,6 +165,13 @@
 	l.mu.Unlock()
 	go func() {
 		report, err := l.call(l.term.ctx(), orders, orderTimeout)
+		if connector.OnReused(err) {
+			l.term.leader.Log.Info("orders repeated on a new connection", "node", l.node, "starts", len(orders.Starts),
+				"stops", len(orders.Stops), "err", err)
+			if report, err = l.call(l.term.ctx(), orders, orderTimeout); err == nil {
+				dropRefusals(report.Results)
+			}
+		}
 		receivedAt := time.Now()
 		if err != nil {
 			l.term.leader.Log.Warn("no answer to orders", "node", l.node, "starts", len(orders.Starts),
@@ -179,6 +182,13 @@
 	}()
 }
 
+// dropRefusals turns refusals into unknown results: the call is a repeated one, and the first may have been carried out.
+func dropRefusals(results []agent.Result) {
+	for i := range results {
+		results[i].Refused = ""
+	}
+}
+
 // acknowledge tells the agent that ended attempts up to the sequence number ackedSeq are durably recorded, unless it
 // was told so before or its worker has another incarnation.
 func (l *link) acknowledge(incarnation descriptor.Incarnation, ackedSeq int64) {
@@ -217,19 +227,14 @@
 	if err != nil {
 		return report, err
 	}
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		return report, err
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	response, err := agents.Do(request, maxReportBytes)
 	if err != nil {
 		return report, err
 	}
-	if response.StatusCode != http.StatusOK {
-		return report, fmt.Errorf("agent answered with status %s", response.Status)
+	if response.Status != http.StatusOK {
+		return report, fmt.Errorf("agent answered with status %d", response.Status)
 	}
-	return report, encoder.Unmarshal(data, &report)
+	return report, encoder.Unmarshal(response.Body, &report)
 }
 
 // estimatedClock estimates the worker's clock. The estimate is ahead of that clock only if the clock runs slower than
