admitter: a silent connection does not make another entry unreachable

An entry that cannot write forwards its calls. One connection to another entry that had gone silent cost the caller 1.1 s and a 504, and kept that entry out for 5 s, so that with few entries callers were refused although new connections work. Documents for the leader were lost the same way.

Calls between entries go through a connector. One that fails on a connection of earlier calls is repeated on a new one before anything is concluded about the entry. A repeated submission that is not accepted stays of unknown outcome, since the first one may have been.

Seen to fail before: TestSilentConnectionDoesNotExcludePeer (without the repetition), TestRepeatedSubmissionIsNotRefused (without the unknown outcome). TestDialTimeoutIsNotSent now sets the admitter's own connector instead of a variable of the package; what it asks is the same.

--- a/cmd/persimmontrail-node/entry.go
+++ b/cmd/persimmontrail-node/entry.go
@@ -8,6 +8,7 @@
 
 	"persimmontrail/internal/admitter"
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/connector"
 	"persimmontrail/internal/leader"
 	"persimmontrail/internal/planner"
 	"persimmontrail/platform"
@@ -26,6 +27,8 @@
 	// leaderKeyWatchTimeout is how long a watch of the leader key waits. The key rarely changes, and a connection that has
 	// gone silent only delays a takeover until the mirror of all documents shows the change.
 	leaderKeyWatchTimeout = 10 * time.Second
+	// entryDialTimeout limits the time to connect to another entry. The delay between regions is 24 ms.
+	entryDialTimeout = 400 * time.Millisecond
 	// announceRetryPause is the pause between two tries to write the process's address to the store.
 	announceRetryPause = 300 * time.Millisecond
 )
@@ -71,7 +74,7 @@
 	}
 	admission := &admitter.Admitter{
 		Node: nodeSettings.Node, Store: store, Documents: documents, OperatorKeys: operatorKeys, Plan: plans, PlanKey: platform.ConfigKey,
-		PlanConfirmedAt: operatorKeys.Confirmed, Log: p.log, Metrics: p.metrics,
+		PlanConfirmedAt: operatorKeys.Confirmed, Entries: connector.Connector{DialTimeout: entryDialTimeout, MaxIdle: 4}, Log: p.log, Metrics: p.metrics,
 	}
 	ingress := &platform.Ingress{Serve: admission.Serve, Plan: plans, Log: p.log}
 
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -23,6 +23,7 @@
 	"github.com/charmbracelet/log"
 
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/connector"
 	"persimmontrail/internal/planner"
 	"persimmontrail/internal/recorder"
 	"persimmontrail/pkg/descriptor"
@@ -90,8 +91,10 @@
 	PlanKey string
 	// PlanConfirmedAt returns when Plan was last confirmed to hold the newest configuration.
 	PlanConfirmedAt func() time.Time
-	Log             *log.Logger
-	Metrics         *recorder.Metrics
+	// Entries makes the calls to other entries.
+	Entries connector.Connector
+	Log     *log.Logger
+	Metrics *recorder.Metrics
 
 	mu sync.Mutex
 	// unreachableUntil maps the address of an entry that was not reached to the time until which no calls are sent to it.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -22,6 +22,8 @@
 	"gotest.tools/v3/assert"
 
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/connector"
+	"persimmontrail/internal/connector/breaker"
 	"persimmontrail/internal/encoder"
 	"persimmontrail/internal/planner"
 	"persimmontrail/internal/recorder"
@@ -234,14 +236,12 @@
 // TestDialTimeoutIsNotSent guards against an unknown outcome for a call that was never sent: if the deadline passes
 // while the connection is being established, the error is that of the deadline, which looks like a lost answer.
 func TestDialTimeoutIsNotSent(t *testing.T) {
-	oldTransport := peerTransport
-	defer func() { peerTransport = oldTransport }()
-	peerTransport = &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+	a := &Admitter{Entries: connector.Connector{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
-	}}
-	_, err := postToPeer(t.Context(), "127.0.0.1:1", CallPath, nil, 20*time.Millisecond)
-	assert.ErrorIs(t, err, errNotSent)
+	}}}
+	_, err := a.postToPeer(t.Context(), "127.0.0.1:1", CallPath, nil, 20*time.Millisecond)
+	assert.Assert(t, connector.NotSent(err))
 }
 
 // TestUnavailableStoreForwardsToPeer guards against refusing a submission because this entry's commits fail as
@@ -262,6 +262,51 @@
 	assert.Assert(t, ok)
 }
 
+// newSilentPeer returns an admitter that cannot write to the store, and another one that can. The connection between them
+// has carried a call and then gone silent.
+func newSilentPeer(t *testing.T) (*Admitter, *memoryStore, *breaker.Peer) {
+	t.Helper()
+	m := &memoryStore{}
+	peer := newAdmitter(t, m)
+	connections := &breaker.Peer{Handler: peer.PeerHandler()}
+	t.Cleanup(connections.Close)
+	m.put(archiver.EntryKey("other"), archiver.Encode(archiver.Member{Node: "other", Address: "other:1"}))
+	a := newAdmitter(t, m)
+	a.Entries.Dial = connections.Dial
+	s := *a.Store
+	s.Commit = func(context.Context, archiver.Txn) (archiver.Revision, error) { return 0, archiver.ErrUnavailable }
+	a.Store = &s
+	assert.Equal(t, a.Serve(t.Context(), submitCall("first")).Code, CodeDone)
+	connections.Break(breaker.Silent)
+	return a, m, connections
+}
+
+// TestSilentConnectionDoesNotExcludePeer guards against an entry that is not asked for 5 s because one connection to it had
+// gone silent, while its callers are told that the outcome is unknown or that no entry reaches the store.
+func TestSilentConnectionDoesNotExcludePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, m, _ := newSilentPeer(t)
+		assert.Equal(t, a.Serve(t.Context(), submitCall("j")).Code, CodeDone)
+		_, ok := m.items[archiver.JobKey("j")]
+		assert.Assert(t, ok)
+		assert.Equal(t, len(a.peers()), 1)
+	})
+}
+
+// TestRepeatedSubmissionIsNotRefused guards against a caller that is told that its submission was refused, although the
+// first one was lost with its connection and may have been accepted.
+func TestRepeatedSubmissionIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, m, connections := newSilentPeer(t)
+		connections.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			a.writeCBOR(w, Reply{Code: CodeRefused})
+		})
+		assert.Equal(t, a.Serve(t.Context(), submitCall("j")).Code, CodeUnknown)
+		_, ok := m.items[archiver.JobKey("j")]
+		assert.Assert(t, !ok)
+	})
+}
+
 // TestSubmitChecksNewestConfiguration guards against checking a submission by a cached configuration that was replaced
 // in the store: a removed key would be accepted and a new one rejected.
 func TestSubmitChecksNewestConfiguration(t *testing.T) {
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -3,18 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/connector"
 	"persimmontrail/internal/encoder"
 )
 
@@ -66,7 +63,7 @@
 	}
 	askedCount := 0
 	for _, m := range peers {
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minPeerCallTime {
+		if !hasTime(ctx, minPeerCallTime) {
 			break
 		}
 		askedCount++
@@ -75,7 +72,7 @@
 		if err != nil {
 			a.Log.Info("entry did not answer", "node", m.Node, "job", c.Workload.ID, "err", err)
 			a.markUnreachable(m)
-			if !errors.Is(err, errNotSent) && c.Action == ActionSubmit {
+			if !connector.NotSent(err) && c.Action == ActionSubmit {
 				unknownReply = Reply{Code: CodeUnknown, Reason: "entry " + m.Node + " did not answer"}
 			}
 			continue
@@ -109,9 +106,6 @@
 	return Reply{Code: CodeRefused, Reason: "no entry reaches the store"}, "nowhere"
 }
 
-// errNotSent means that no connection was established, so the request was not sent.
-var errNotSent = errors.New("request not sent")
-
 // markUnreachable excludes an entry from forwarding for unreachableTTL.
 func (a *Admitter) markUnreachable(m archiver.Member) {
 	a.mu.Lock()
@@ -167,7 +161,11 @@
 		return
 	}
 	go func() {
-		if _, err := postToPeer(context.Background(), leader.Address, DocumentPath, body, notifyTimeout); err != nil {
+		_, err := a.postToPeer(context.Background(), leader.Address, DocumentPath, body, notifyTimeout)
+		if connector.OnReused(err) {
+			_, err = a.postToPeer(context.Background(), leader.Address, DocumentPath, body, notifyTimeout)
+		}
+		if err != nil {
 			a.Log.Info("failed to send document to the leader", "key", i.Key, "leader", leader.Node, "err", err)
 		}
 	}()
@@ -228,55 +226,59 @@
 	a.servingAddress = m.Address
 }
 
-// peerTransport carries all requests between entries.
-var peerTransport = &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: 400 * time.Millisecond, KeepAlive: 5 * time.Second}).DialContext,
-	MaxIdleConnsPerHost: 4,
-	IdleConnTimeout:     20 * time.Second,
-	DisableCompression:  true,
-}
-
-// callPeer forwards a call to another entry and waits for the reply for 200 ms longer than c.Timeout.
+// callPeer forwards a call to another entry and waits for the reply for 200 ms longer than c.Timeout. A call that was lost
+// with a connection of earlier calls is forwarded once more, on a new connection, before the entry counts as
+// unreachable. The first submission may have been accepted then, so only the acceptance of the second one is known.
 func (a *Admitter) callPeer(ctx context.Context, m archiver.Member, c Call) (Reply, error) {
 	var r Reply
 	body, err := encoder.Marshal(c)
 	if err != nil {
 		return r, err
 	}
-	data, err := postToPeer(ctx, m.Address, CallPath, body, c.Timeout+200*time.Millisecond)
+	timeout := c.Timeout + 200*time.Millisecond
+	data, err := a.postToPeer(ctx, m.Address, CallPath, body, timeout)
+	repeated := connector.OnReused(err) && hasTime(ctx, minPeerCallTime)
+	if repeated {
+		a.Log.Info("call repeated on a new connection", "node", m.Node, "job", c.Workload.ID, "err", err)
+		if data, err = a.postToPeer(ctx, m.Address, CallPath, body, timeout); connector.NotSent(err) {
+			// The first call was sent.
+			err = fmt.Errorf("repeated call: %s", err)
+		}
+	}
 	if err != nil {
 		return r, err
 	}
-	return r, encoder.Unmarshal(data, &r)
+	if err := encoder.Unmarshal(data, &r); err != nil {
+		return r, err
+	}
+	if repeated && c.Action == ActionSubmit && r.Code != CodeDone {
+		r = Reply{Code: CodeUnknown, Reason: "entry " + m.Node + " did not answer at first", Config: r.Config}
+	}
+	return r, nil
+}
+
+// hasTime reports whether ctx has at least d left.
+func hasTime(ctx context.Context, d time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || time.Until(deadline) >= d
 }
 
-// postToPeer posts body to another entry and returns the body of its response. The error is errNotSent if no connection
-// was established.
-func postToPeer(ctx context.Context, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
+// postToPeer posts body to another entry and returns the body of its response.
+func (a *Admitter) postToPeer(ctx context.Context, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	response, err := peerTransport.RoundTrip(request)
-	if err != nil && !connected.Load() {
-		return nil, errors.Join(errNotSent, err)
-	}
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	response, err := a.Entries.Do(request, maxMessageBytes)
 	if err != nil {
 		return nil, err
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("entry answered with status %s", response.Status)
+	if response.Status != http.StatusOK {
+		return nil, fmt.Errorf("entry answered with status %d", response.Status)
 	}
-	return data, nil
+	return response.Body, nil
 }
 
 // PeerHandler returns the handler of requests from other entries. A forwarded call is served until its own timeout,
@@ -388,7 +390,7 @@
 		a.Log.Error("failed to encode revision", "err", err)
 		return false
 	}
-	data, err := postToPeer(ctx, m.Address, PlanPath, body, storeTimeout)
+	data, err := a.postToPeer(ctx, m.Address, PlanPath, body, storeTimeout)
 	var update PlanUpdate
 	if err == nil {
 		err = encoder.Unmarshal(data, &update)
