agent: a shutdown notice that names no incarnation bars no starts by itself

The Leave of a worker's former life arrived 2 s after the next life had registered under the same id.

Cause: such a notice names no incarnation, so the agent took it for the present one and refused each start until the worker's next incarnation. No heartbeat of the present one, each of which said that it takes work, could refute it.

A worker announces its drain before it leaves. A notice that names no incarnation now ends starts only through the drain of the present one; it still lets the worker count as gone as soon as nothing listens at its address, which proves itself. A later heartbeat that shows no drain refutes any notice, also one that names the incarnation.

Seen to fail before: TestLateShutdownNoticeEndsNoStarts, TestNamedShutdownNoticeIsRefuted.

Ruled out: to ignore notices without incarnation, since then a worker that has left counts as gone a quarter of a second later (TestShutdownNoticeIsChecked); to compare the time of the notice with that of the first heartbeat, since a call may be delayed by any time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,8 +92,12 @@
 	// contested is the last heartbeat of status.Incarnation that differs from status in facts that do not change during
 	// an incarnation; nil if the last one agreed.
 	contested *descriptor.WorkerStatus
-	// leaving is true once the worker has announced its shutdown; workerGone once nothing of it runs any more.
-	leaving    bool
+	// leaving is true once a shutdown notice has arrived, until a heartbeat of status.Incarnation shows that the worker
+	// still takes work. A notice that names no incarnation may come late from a former one.
+	leaving bool
+	// leavingNamed is true if the notice named status.Incarnation. It implies leaving.
+	leavingNamed bool
+	// workerGone is true once nothing of the worker runs any more.
 	workerGone bool
 	// holdUntil and ackedSeq apply to status.Incarnation and never decrease during it.
 	holdUntil descriptor.WorkerClock
@@ -136,7 +140,7 @@
 func (a *Agent) beginIncarnation(status descriptor.WorkerStatus) {
 	a.Log.Info("new worker incarnation", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born, "rack", status.Rack,
 		"accelerators", status.Capacity.Accelerators, "before", a.status.Incarnation.Born)
-	a.holdUntil, a.ackedSeq, a.hasLists, a.lists, a.workerGone, a.leaving = 0, 0, false, AttemptLists{}, false, false
+	a.holdUntil, a.ackedSeq, a.hasLists, a.lists, a.workerGone, a.leaving, a.leavingNamed = 0, 0, false, AttemptLists{}, false, false, false
 	a.noProcessSince, a.candidate, a.contested, a.confirmed, a.verified = time.Time{}, nil, nil, false, false
 	a.hasStatus, a.status = true, status
 	a.publish()
@@ -161,7 +165,11 @@
 	}
 	if a.workerGone {
 		a.Log.Warn("worker considered gone is back in the same incarnation", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born)
-		a.workerGone, a.leaving, a.noProcessSince, changed = false, false, time.Time{}, true
+		a.workerGone, a.leaving, a.leavingNamed, a.noProcessSince, changed = false, false, false, time.Time{}, true
+	}
+	if a.leaving && !status.Draining {
+		a.Log.Warn("shutdown notice refuted by a heartbeat", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born)
+		a.leaving, a.leavingNamed, changed = false, false, true
 	}
 	a.status = status
 	if changed {
@@ -176,8 +184,8 @@
 }
 
 // HandleShutdown notes that the worker has announced its shutdown. From then on it is gone as soon as no process listens
-// at its address. The notice of another worker, or of another incarnation if it names one, is ignored; a late notice may
-// arrive during the next incarnation.
+// at its address. The notice of another worker, or of another incarnation if it names one, is ignored. One that names no
+// incarnation may come late from a former one, and does not end the starts of a worker that has not announced a drain.
 func (a *Agent) HandleShutdown(incarnation descriptor.Incarnation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -186,8 +194,9 @@
 			"known", a.status.Incarnation.Born)
 		return
 	}
-	a.Log.Info("worker announced its shutdown", "worker", incarnation.Worker, "born", a.status.Incarnation.Born)
-	a.leaving = true
+	a.Log.Info("worker announced its shutdown", "worker", incarnation.Worker, "born", a.status.Incarnation.Born,
+		"named", incarnation.Born != 0, "draining", a.status.Draining)
+	a.leaving, a.leavingNamed = true, a.leavingNamed || incarnation.Born != 0
 	a.wakePollLoop()
 }
 
@@ -526,7 +535,7 @@
 	switch {
 	case request.Fence < a.fence:
 		return descriptor.RefusedFence
-	case a.status.Draining || a.workerGone || a.leaving:
+	case a.status.Draining || a.workerGone || a.leavingNamed:
 		// Orders sent before the leader learned of the drain must not start anything after it.
 		return descriptor.RefusedDraining
 	case request.Incarnation != a.status.Incarnation:
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -386,6 +386,52 @@
 	})
 }
 
+// startOn orders a start of the given incarnation and returns its result.
+func startOn(t *testing.T, a *Agent, i descriptor.Incarnation, index int) Result {
+	t.Helper()
+	return a.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: i, Starts: []Start{{AttemptID: attemptID(index, 1)}}}).Results[0]
+}
+
+// TestLateShutdownNoticeEndsNoStarts guards against a late notice of a former incarnation, which names none, that bars the
+// worker for as long as it lives: a job that was placed there never started (review/7). The worker may have restarted
+// before or after the notice, and drain itself.
+func TestLateShutdownNoticeEndsNoStarts(t *testing.T) {
+	next := descriptor.Incarnation{Worker: "w", Born: 2}
+	for _, delay := range []time.Duration{0, 400 * time.Millisecond, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			worker := &fakeWorker{}
+			agent := newAgent(t, worker)
+			agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+			agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s", Draining: true})
+			time.Sleep(time.Second)
+			worker.restart(2)
+			agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: next, Service: "s"})
+			time.Sleep(delay)
+			agent.HandleShutdown(descriptor.Incarnation{Worker: "w"})
+			time.Sleep(time.Second)
+			assert.Assert(t, startOn(t, agent, next, 0).Started, "after %v", delay)
+			// During a drain of its own the notice ends starts, which the drain does already.
+			agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: next, Service: "s", Draining: true})
+			agent.HandleShutdown(descriptor.Incarnation{Worker: "w"})
+			assert.Equal(t, startOn(t, agent, next, 1).Refused, descriptor.RefusedDraining)
+			agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: next, Service: "s"})
+			assert.Assert(t, startOn(t, agent, next, 2).Started)
+		})
+	}
+}
+
+// TestNamedShutdownNoticeIsRefuted guards against a notice that names the incarnation, perhaps from another writer, and
+// outlives the heartbeats that refute it.
+func TestNamedShutdownNoticeIsRefuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agent := newAgent(t, &fakeWorker{})
+		agent.HandleShutdown(incarnation)
+		assert.Equal(t, startOn(t, agent, incarnation, 0).Refused, descriptor.RefusedDraining)
+		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s"})
+		assert.Assert(t, startOn(t, agent, incarnation, 0).Started)
+	})
+}
+
 // TestPausedAgentSendsNoStart guards against an agent that was paused and then sends a start of long ago. The worker's
 // deadline does not refuse it if the worker was restarted meanwhile, since its clock began anew.
 func TestPausedAgentSendsNoStart(t *testing.T) {
