agent: what makes the agent refuse starts is in its report

One function decides whether the worker takes starts, and the report shows its result as draining. A change of it wakes a leader that waits for the report.

Seen to fail before: TestReportSaysWhyStartsAreRefused (named notice).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -196,7 +196,11 @@
 	}
 	a.Log.Info("worker announced its shutdown", "worker", incarnation.Worker, "born", a.status.Incarnation.Born,
 		"named", incarnation.Born != 0, "draining", a.status.Draining)
+	tookStarts := a.takesStarts()
 	a.leaving, a.leavingNamed = true, a.leavingNamed || incarnation.Born != 0
+	if a.takesStarts() != tookStarts {
+		a.publish()
+	}
 	a.wakePollLoop()
 }
 
@@ -535,8 +539,8 @@
 	switch {
 	case request.Fence < a.fence:
 		return descriptor.RefusedFence
-	case a.status.Draining || a.workerGone || a.leavingNamed:
-		// Orders sent before the leader learned of the drain must not start anything after it.
+	case !a.takesStarts():
+		// Orders sent before the leader learned of it must not start anything after it.
 		return descriptor.RefusedDraining
 	case request.Incarnation != a.status.Incarnation:
 		return descriptor.RefusedIncarnation
@@ -546,6 +550,12 @@
 	return ""
 }
 
+// takesStarts reports whether the worker may get starts. What it decides by is part of the report, so that a leader does
+// not go on placing tasks here. The caller holds a.mu.
+func (a *Agent) takesStarts() bool {
+	return !a.status.Draining && !a.workerGone && !a.leavingNamed
+}
+
 // errNewIncarnation means that the clock in an answer is behind a clock that the worker reported before: the worker was
 // restarted under the same id. The answer comes from an incarnation whose heartbeat has not arrived yet.
 var errNewIncarnation = errors.New("a new incarnation of the worker answered")
@@ -588,8 +598,10 @@
 func (a *Agent) report(results []Result) Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	status := a.status
+	status.Draining = !a.takesStarts()
 	return Report{
-		Node: a.Node, Version: a.version, Fence: a.fence, HasStatus: a.confirmed, Status: a.status, WorkerGone: a.workerGone,
+		Node: a.Node, Version: a.version, Fence: a.fence, HasStatus: a.confirmed, Status: status, WorkerGone: a.workerGone,
 		ListsCurrent: a.hasLists && a.listsFence == a.fence, Clock: a.lists.Clock,
 		Running: a.lists.Running, Ended: a.lists.Ended, AllEnds: a.lists.AllEnds, Results: results,
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -432,6 +432,38 @@
 	})
 }
 
+// TestReportSaysWhyStartsAreRefused guards against an agent that refuses each start and reports a worker that takes them, so
+// that the leader goes on placing tasks there. A change must reach a waiting leader without delay.
+func TestReportSaysWhyStartsAreRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		change  func(*Agent)
+		refused bool
+	}{
+		"named notice":   {func(a *Agent) { a.HandleShutdown(incarnation) }, true},
+		"unnamed notice": {func(a *Agent) { a.HandleShutdown(descriptor.Incarnation{Worker: "w"}) }, false},
+		"drain": {func(a *Agent) {
+			a.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s", Draining: true})
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				agent := newAgent(t, &fakeWorker{})
+				agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+				time.Sleep(time.Second)
+				known := agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation}).Version
+				time.AfterFunc(50*time.Millisecond, func() { test.change(agent) })
+				asked := time.Now()
+				report := agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation, KnownVersion: known, Wait: time.Second})
+				assert.Equal(t, time.Since(asked) == 50*time.Millisecond, test.refused)
+				assert.Equal(t, report.Status.Draining, test.refused)
+				assert.Equal(t, startOn(t, agent, incarnation, 0).Refused != "", test.refused)
+				agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s"})
+				assert.Assert(t, !agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation}).Status.Draining)
+			})
+		})
+	}
+}
+
 // TestPausedAgentSendsNoStart guards against an agent that was paused and then sends a start of long ago. The worker's
 // deadline does not refuse it if the worker was restarted meanwhile, since its clock began anew.
 func TestPausedAgentSendsNoStart(t *testing.T) {
