planner: a refused start pauses the worker, and plans after refusals are few

Cause: a refusal only made the worker suspect, for some reasons, for which a task avoids it for 0.8 s; after that, and for all other reasons, the next plan chose the same worker again, and each refusal asked for a plan.

A worker that has refused a start, for whatever reason, gets none for 0.1 s, doubling up to 1.6 s until it accepts one. Refusals that follow one another ask for plans on a grid of 0.1 s, whatever the number of workers. The first one still asks for a plan at once, so that the task goes to another worker. After its first refusal the worker's room counts as about to be free, so that nothing is preempted elsewhere for want of it.

Measured in the test: a worker that refuses all gets at most 10 starts in 10 s, and 3 or 120 workers cost at most 102 plans with starts in that time; the task starts within 3 s of the end of the refusals.

Ruled out: to make the worker suspect for every reason, since a suspect is used again after 0.8 s and its refusals are then as many as before; a limit on writes in the leader, since that would delay other decisions too.

--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -366,7 +366,7 @@
 		}
 		if !t.core.StartAllowed(o, now) {
 			t.logOrder("start dropped, no longer allowed", o)
-			t.core.HandleRefused(o.Node, o.Incarnation, o.Attempt, "Stale", now)
+			t.core.WithdrawStart(o, now)
 			t.wake()
 			continue
 		}
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -61,6 +61,9 @@
 			p.fleet = append(p.fleet, w)
 			p.room[w] = w.free()
 			p.releasing[w] = w.stoppingCapacity()
+			if p.startsPaused(w) {
+				p.withholdRoom(w)
+			}
 		}
 	}
 	p.withinGuarantee, p.candidateCache = c.jobsWithinGuarantee(), map[candidateKey]*candidates{}
@@ -70,6 +73,19 @@
 	return p
 }
 
+// startsPaused reports whether a worker gets no starts in this pass, because it has refused one.
+func (p *pass) startsPaused(w *worker) bool { return p.now.Before(w.startsPausedUntil) }
+
+// withholdRoom leaves no room on a worker whose starts are paused. After the first refusal its room counts as about to be
+// free, so that nothing is preempted elsewhere for want of it; a worker that goes on refusing has none to offer.
+func (p *pass) withholdRoom(w *worker) {
+	if w.refusalPause <= minRefusalPause {
+		p.releasing[w] = p.releasing[w].Plus(p.room[w])
+	}
+	p.room[w] = descriptor.Capacity{}
+	p.core.planBy(w.startsPausedUntil)
+}
+
 // place starts a group, or those of its independent tasks for which there is room. For an urgent group without room it
 // earmarks room that is about to be free, or preempts other work. A claim that can no longer be used is dropped.
 func (p *pass) place(g group) []Order {
@@ -155,7 +171,7 @@
 	var best *worker
 	var bestLeft float64
 	for _, w := range pool {
-		if !p.room[w].Fits(need) || p.atTaskLimit(g, step, w) {
+		if p.startsPaused(w) || !p.room[w].Fits(need) || p.atTaskLimit(g, step, w) {
 			continue
 		}
 		left := freeFractionSum(p.room[w].Minus(need), w.status.Capacity)
@@ -387,6 +403,9 @@
 		}
 		return p.room[w]
 	}
+	if !countReleasing && slices.ContainsFunc(pool, p.startsPaused) {
+		pool = slices.DeleteFunc(slices.Clone(pool), p.startsPaused)
+	}
 	return pack(pool, room, need, n, perWorkerLimit(step))
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -91,6 +91,9 @@
 	reserve reserve
 	// nextPlanAt is the earliest time at which a plan may differ without a new event; zero means never.
 	nextPlanAt time.Time
+	// lastRefusalAt is when the last start was refused; refusalGrid is the origin of the grid of refusalPlanInterval.
+	lastRefusalAt time.Time
+	refusalGrid   time.Time
 	// currentJob is the workload that is being processed. It names the one at fault when the planner panics.
 	currentJob descriptor.JobID
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
@@ -929,3 +930,85 @@
 		assert.Equal(t, f.jobState("job"), JobFailed)
 	}
 }
+
+// refuse passes the refusal of each start to the core, and the stops to the workers.
+func (f *fixture) refuse(orders []Order, reason descriptor.Refusal) {
+	for _, o := range orders {
+		if o.Stop {
+			f.apply([]Order{o})
+			continue
+		}
+		f.core.HandleRefused(o.Node, o.Incarnation, o.Attempt, reason, f.now)
+	}
+}
+
+// TestRefusedStartsArePaced guards against a task that is placed again at once, at a write each, on workers that refuse
+// each start: one worker cost 800 writes a second, twice what the store takes of all processes (review/7). However many
+// workers refuse, the plans that follow stay few. When they accept again, the task must start within 3 s.
+func TestRefusedStartsArePaced(t *testing.T) {
+	const period = 10 * time.Second
+	for _, reason := range []descriptor.Refusal{
+		descriptor.RefusedDraining, descriptor.RefusedDelayed, descriptor.RefusedBusy, descriptor.RefusedCapacity, descriptor.RefusedDeadline,
+		descriptor.RefusedStaleAttempt, descriptor.RefusedIncarnation, descriptor.RefusedInvalid, descriptor.RefusedTicket,
+	} {
+		for _, racks := range []int{1, 4, 40} {
+			for _, size := range []descriptor.Capacity{{Cores: 4000, Accelerators: 1}, {}} {
+				t.Run(fmt.Sprint(reason, racks, size.Cores), func(t *testing.T) {
+					f := newFixture(t, racks)
+					f.submit("j", 1, 1, time.Second, func(w *descriptor.Workload) { w.Steps[0].Size = size })
+					starts, plans := map[string]int{}, 0
+					for start := f.now; f.now.Sub(start) < period; f.now = f.now.Add(5 * time.Millisecond) {
+						if f.clock++; f.clock%20 == 0 {
+							f.reportAll()
+						}
+						if r := f.core.NextPlanAt(); !f.core.PlanNeeded() && (r.IsZero() || f.now.Before(r)) {
+							continue
+						}
+						orders := f.core.Plan(f.now)
+						if len(orders) > 0 {
+							plans++
+						}
+						for _, o := range orders {
+							starts[o.Node]++
+						}
+						f.refuse(orders, reason)
+					}
+					assert.Assert(t, len(starts) > 0)
+					for node, n := range starts {
+						assert.Assert(t, n <= 10, "%s: %d starts", node, n)
+					}
+					// Two plans have other causes: the submission and the end of suspectWait.
+					assert.Assert(t, plans <= int(period/refusalPlanInterval)+2, "%d plans", plans)
+					f.advance(3 * time.Second)
+					assert.Equal(t, len(f.runningNodes("j")), 1)
+				})
+			}
+		}
+	}
+}
+
+// TestRefusedStartGoesElsewhereAtOnce guards against a task that waits for the worker that has refused it although
+// another one has room, and against work that is preempted for a gang because one refusal holds room back for a moment.
+func TestRefusedStartGoesElsewhereAtOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("j", 1, 1, time.Second)
+	orders := f.core.Plan(f.now)
+	f.refuse(orders, descriptor.RefusedDraining)
+	assert.Assert(t, f.core.PlanNeeded())
+	f.planAndApply()
+	nodes := f.runningNodes("j")
+	assert.Equal(t, len(nodes), 1)
+	assert.Assert(t, nodes[0] != orders[0].Node)
+
+	f = newFixture(t, 2)
+	f.submit("small", 1, 1, time.Minute, priority(1))
+	f.planAndApply()
+	f.submit("gang", 3, 8, 10*time.Second, sameRack, priority(0))
+	orders = f.core.Plan(f.now)
+	assert.Equal(t, len(orders), 3)
+	f.apply(orders[:2])
+	f.refuse(orders[2:], descriptor.RefusedCapacity)
+	f.advance(4 * time.Second)
+	assert.Equal(t, len(f.runningNodes("gang")), 3)
+	assert.Equal(t, len(f.runningNodes("small")), 1)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -33,6 +33,14 @@
 	// maxStartConfirmation is how long an attempt whose start has no deadline may be unconfirmed before it is stopped. It
 	// covers a call with orders and two reports.
 	maxStartConfirmation = 2500 * time.Millisecond
+	// minRefusalPause is how long a worker gets no start after it has refused one. The pause doubles with each refusal
+	// after it, up to maxRefusalPause, until the worker accepts a start. The longest pause leaves time to start a task
+	// within 3 s of the end of whatever made the worker refuse.
+	minRefusalPause = 100 * time.Millisecond
+	maxRefusalPause = 1600 * time.Millisecond
+	// refusalPlanInterval is the grid of the plans that repeated refusals ask for. Each plan costs a write, and on a fleet
+	// that refuses everything each worker would ask for one at another time.
+	refusalPlanInterval = 100 * time.Millisecond
 	// stopRetryInterval is the time after which an unconfirmed stop order is repeated.
 	stopRetryInterval = 1200 * time.Millisecond
 )
@@ -60,6 +68,10 @@
 	quarantinedUntil time.Time
 	// quarantinePeriod is the length of the last quarantine; 0 after a success.
 	quarantinePeriod time.Duration
+	// startsPausedUntil is when the worker may get a start again after it has refused one.
+	startsPausedUntil time.Time
+	// refusalPause is the length of the last such pause; 0 after the worker has accepted a start.
+	refusalPause time.Duration
 }
 
 // failure is a failed attempt on a worker.
@@ -224,6 +236,7 @@
 // confirm records that an attempt was reported as running.
 func (c *Core) confirm(r *attempt) {
 	r.confirmed = true
+	r.worker.refusalPause = 0
 	if r.job == nil {
 		return
 	}
@@ -333,8 +346,9 @@
 	}
 }
 
-// HandleRefused processes a worker's answer that it refused a start. The attempt is removed unless it was already
-// confirmed. Refusals that the worker would repeat make it suspect. Answers of other incarnations are ignored.
+// HandleRefused processes the answer that a start was refused, by the worker or its agent. The attempt is removed unless
+// it was already confirmed, and the worker gets no start for a while, whatever the reason. Refusals that the worker would
+// repeat make it suspect as well. Answers of other incarnations are ignored.
 func (c *Core) HandleRefused(node string, incarnation descriptor.Incarnation, id descriptor.AttemptID, refusal descriptor.Refusal, now time.Time) {
 	w := c.workers[node]
 	if w == nil || w.incarnation != incarnation {
@@ -345,9 +359,46 @@
 		// What is known of the worker is out of date, and it would refuse the same order again.
 		w.suspectUntil = now.Add(suspectPeriod)
 	}
-	if r := w.attempts[id]; r != nil && !r.confirmed {
-		c.removeAttempt(r, now, "start refused: "+string(refusal))
+	c.pauseStarts(w, now)
+	r := w.attempts[id]
+	if r == nil || r.confirmed {
+		return
+	}
+	planNeeded := c.planNeeded
+	c.removeAttempt(r, now, "start refused: "+string(refusal))
+	if !c.lastRefusalAt.IsZero() && now.Sub(c.lastRefusalAt) <= 2*refusalPlanInterval {
+		c.planNeeded = planNeeded
+		c.planBy(c.nextRefusalPlan(now))
+	}
+	c.lastRefusalAt = now
+}
+
+// nextRefusalPlan returns the first point of the grid of refusalPlanInterval after now.
+func (c *Core) nextRefusalPlan(now time.Time) time.Time {
+	if c.refusalGrid.IsZero() {
+		c.refusalGrid = now
+	}
+	return c.refusalGrid.Add(now.Sub(c.refusalGrid).Truncate(refusalPlanInterval) + refusalPlanInterval)
+}
+
+// WithdrawStart removes an attempt whose start was not sent, since StartAllowed ruled it out.
+func (c *Core) WithdrawStart(o Order, now time.Time) {
+	w := c.workers[o.Node]
+	if w == nil || w.incarnation != o.Incarnation {
+		return
+	}
+	if r := w.attempts[o.Attempt]; r != nil && !r.confirmed {
+		c.removeAttempt(r, now, "start not sent, no longer allowed")
+	}
+}
+
+// pauseStarts keeps starts from a worker that has refused one. Refusals during a pause do not lengthen it.
+func (c *Core) pauseStarts(w *worker, now time.Time) {
+	if now.Before(w.startsPausedUntil) {
+		return
 	}
+	w.refusalPause = min(max(2*w.refusalPause, minRefusalPause), maxRefusalPause)
+	w.startsPausedUntil = c.nextRefusalPlan(now.Add(w.refusalPause - refusalPlanInterval))
 }
 
 // HandleStarted processes a worker's answer that an attempt is present at the given worker clock. Answers of other
@@ -428,6 +479,7 @@
 	case descriptor.OutcomeRefused:
 		// The reason is not known, so the worker may refuse the next start as well.
 		w.suspectUntil = now.Add(suspectPeriod)
+		c.pauseStarts(w, now)
 	}
 }
 
