admitter: a cancelled job that is unknown is withdrawn before the answer

Its submission's write was still under way, from an entry that had been killed.

Cause: "no such job" rested on one read. Nothing kept the id absent after it, so a write that required only its absence could still take effect.

An entry that does not know the job now stores a withdrawal under the job's key, on the condition that the key does not exist, before it answers 410. Writes under way, from any entry, fail on their own condition; later submissions of the id get 410 as well. If a submission comes first, the write conflicts with its record, which is then cancelled like any other. A withdrawal is a record without steps: leaders and counts pass over it. It is attached to a lease of 1.25 times the time for which ended jobs are kept, so the store removes it without the leader.

Anyone with an API key can ask for withdrawals with ids that nobody has used. All entries together spend a twentieth of the store's writes on them, each its share by the number of entries, and one workspace at most half of an entry's; beyond that the call is refused with Retry-After and without a call to the store. In the test, 500 unknown cancellations a second at one of four entries cost 5 writes a second and no reads, and accepted jobs are cancelled all the while.

Ruled out: one key for all submissions, raised by each unknown cancelling, since it makes the submissions of all callers under way fail; removal by the leader, which would read, hold and remove documents that hold no work.

--- a/cmd/persimmontrail-node/entry.go
+++ b/cmd/persimmontrail-node/entry.go
@@ -74,7 +74,8 @@
 	}
 	admission := &admitter.Admitter{
 		Node: nodeSettings.Node, Store: store, Documents: documents, OperatorKeys: operatorKeys, Plan: plans, PlanKey: platform.ConfigKey,
-		PlanConfirmedAt: operatorKeys.Confirmed, Entries: connector.Connector{DialTimeout: entryDialTimeout, MaxIdle: 4}, Log: p.log, Metrics: p.metrics,
+		PlanConfirmedAt: operatorKeys.Confirmed, Entries: connector.Connector{DialTimeout: entryDialTimeout, MaxIdle: 4},
+		StoreWrites: nodeSettings.StoreWrites, EndedRetention: nodeSettings.EndedRetention, Log: p.log, Metrics: p.metrics,
 	}
 	ingress := &platform.Ingress{Serve: admission.Serve, Plan: plans, Log: p.log}
 
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -36,7 +37,8 @@
 	// ErrNoKey means that the queue is not public and the caller's API key belongs to no workspace of the newest
 	// configuration.
 	ErrNoKey = errors.New("unknown key")
-	// ErrNoJob means that the caller's workspace has no such workload in the queue.
+	// ErrNoJob means that the caller's workspace has no such workload in the queue. As the result of a cancellation, and of
+	// a submission after that, it means that none with this id will be accepted.
 	ErrNoJob = errors.New("no such job")
 	// ErrInvalid means that the workload is malformed.
 	ErrInvalid = errors.New("invalid workload")
@@ -93,8 +95,14 @@
 	PlanConfirmedAt func() time.Time
 	// Entries makes the calls to other entries.
 	Entries connector.Connector
-	Log     *log.Logger
-	Metrics *recorder.Metrics
+	// StoreWrites is the number of writes per second that the store takes of all processes together; 0 means 400.
+	StoreWrites float64
+	// EndedRetention is how long ended and cancelled workloads are kept. Withdrawals are kept for at least a minute.
+	EndedRetention time.Duration
+	Log            *log.Logger
+	Metrics        *recorder.Metrics
+
+	withdrawals withdrawals
 
 	mu sync.Mutex
 	// unreachableUntil maps the address of an entry that was not reached to the time until which no calls are sent to it.
@@ -333,12 +341,15 @@
 }
 
 // repeatedSubmit returns the result of a submission whose id already has the record i: ErrInvalid if that is a workload
-// of another queue or workspace.
+// of another queue or workspace, and ErrNoJob if it is a withdrawal.
 func (a *Admitter) repeatedSubmit(i archiver.Item, w descriptor.Workload) (SubmitResult, error) {
 	var r planner.Record
 	if err := archiver.Decode(i.Value, &r); err != nil {
 		return SubmitResult{}, errors.Join(ErrOutcomeUnknown, err)
 	}
+	if r.Withdrawn() {
+		return SubmitResult{}, fmt.Errorf("%w: cancelled before it was accepted", ErrNoJob)
+	}
 	if r.Workload.Queue != w.Queue || r.Workload.Workspace != w.Workspace {
 		return SubmitResult{}, errors.Join(ErrInvalid, errors.New("the id is taken by another job"))
 	}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -39,6 +39,11 @@
 	silent atomic.Bool
 	// commitFault, if set, returns the error of each commit. With ErrOutcomeUnknown the commit still takes effect.
 	commitFault func() error
+	// commitCalls and grantCalls count the writes.
+	commitCalls, grantCalls atomic.Int32
+	// leases holds the TTL of each lease; leaseOf holds the lease of each key that is attached to one.
+	leases  []time.Duration
+	leaseOf map[string]archiver.LeaseID
 }
 
 func (m *memoryStore) put(key string, value []byte) {
@@ -84,10 +89,18 @@
 			return nil, after, nil
 		},
 		Commit: m.commit,
+		Grant: func(_ context.Context, ttl time.Duration) (archiver.LeaseID, error) {
+			m.grantCalls.Add(1)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.leases = append(m.leases, ttl)
+			return archiver.LeaseID(len(m.leases)), nil
+		},
 	}
 }
 
 func (m *memoryStore) commit(_ context.Context, t archiver.Txn) (archiver.Revision, error) {
+	m.commitCalls.Add(1)
 	var fault error
 	if m.commitFault != nil {
 		fault = m.commitFault()
@@ -109,7 +122,14 @@
 		return 0, &archiver.ConflictError{Items: current}
 	}
 	for _, w := range t.Put {
+		if w.Lease > 0 && int(w.Lease) > len(m.leases) {
+			return 0, archiver.ErrLeaseLost
+		}
 		m.put(w.Key, w.Value)
+		if m.leaseOf == nil {
+			m.leaseOf = map[string]archiver.LeaseID{}
+		}
+		m.leaseOf[w.Key] = w.Lease
 	}
 	if fault != nil {
 		return 0, fault
@@ -362,6 +382,127 @@
 	assert.Equal(t, a.Serve(t.Context(), c).Waiting, 0)
 }
 
+// TestCancelledBeforeAcceptance guards against a job that is accepted and runs although its cancellation was answered as
+// final before: the write of its submission was still under way (review/9). The entry of the submission may be this one or
+// another, the write may come at any time, and the submission may be repeated at any entry.
+func TestCancelledBeforeAcceptance(t *testing.T) {
+	m := &memoryStore{}
+	a, other := newAdmitter(t, m), newAdmitter(t, m)
+	a.EndedRetention = 2 * time.Minute
+	var late archiver.Txn
+	s := *other.Store
+	s.Commit = func(_ context.Context, txn archiver.Txn) (archiver.Revision, error) {
+		late = txn
+		return 0, archiver.ErrOutcomeUnknown
+	}
+	other.Store = &s
+	assert.Equal(t, other.Serve(t.Context(), submitCall("j")).Code, CodeUnknown)
+	cancelCall, stateCall := submitCall("j"), submitCall("j")
+	cancelCall.Action, stateCall.Action = ActionCancel, ActionState
+	assert.Equal(t, a.Serve(t.Context(), cancelCall).Code, CodeNoJob)
+	_, err := m.commit(t.Context(), late)
+	var conflict *archiver.ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "the late write took effect")
+	other.Store = m.store()
+	for _, x := range []*Admitter{a, other} {
+		for _, c := range []Call{submitCall("j"), stateCall, cancelCall} {
+			assert.Equal(t, x.Serve(t.Context(), c).Code, CodeNoJob)
+		}
+	}
+	lease := m.leaseOf[archiver.JobKey("j")]
+	assert.Assert(t, lease > 0 && m.leases[lease-1] >= a.EndedRetention, "leases %v", m.leases)
+	assert.Equal(t, len(m.leases), 1)
+}
+
+// TestSubmissionBeforeWithdrawal guards against a cancellation that is answered as final, or takes no effect, when the write
+// of the submission comes between the look for the job and the withdrawal, or when answers are lost.
+func TestSubmissionBeforeWithdrawal(t *testing.T) {
+	m := &memoryStore{}
+	a := newAdmitter(t, m)
+	record := planner.Record{Workload: descriptor.Workload{ID: "j", Queue: "q", Workspace: "w", Steps: []descriptor.Step{{Count: 1}}}}
+	m.put(archiver.JobKey("j"), archiver.Encode(record))
+	c := submitCall("j")
+	c.Action = ActionCancel
+	assert.Equal(t, a.Serve(t.Context(), c).Code, CodeDone)
+	var stored planner.Record
+	assert.NilError(t, archiver.Decode(m.items[archiver.JobKey("j")].Value, &stored))
+	assert.Assert(t, stored.Cancelled && !stored.Withdrawn())
+
+	lost := 2
+	m.commitFault = func() error {
+		if lost--; lost >= 0 {
+			return archiver.ErrOutcomeUnknown
+		}
+		return nil
+	}
+	c = submitCall("k")
+	c.Action = ActionCancel
+	assert.Equal(t, a.Serve(t.Context(), c).Code, CodeNoJob)
+	m.commitFault = func() error { return archiver.ErrUnavailable }
+	c = submitCall("l")
+	c.Action = ActionCancel
+	assert.Equal(t, a.Serve(t.Context(), c).Code, CodeRefused)
+}
+
+// TestWithdrawalWithLostLease guards against cancellations that fail for good because the store no longer knows the lease of
+// withdrawals.
+func TestWithdrawalWithLostLease(t *testing.T) {
+	m := &memoryStore{}
+	a := newAdmitter(t, m)
+	for _, id := range []descriptor.JobID{"j", "k"} {
+		c := submitCall(id)
+		c.Action = ActionCancel
+		assert.Equal(t, a.Serve(t.Context(), c).Code, CodeNoJob)
+		a.withdrawals.lease = 99
+	}
+	assert.Equal(t, m.grantCalls.Load(), int32(2))
+}
+
+// TestFloodOfUnknownCancellations guards against a store that is used up by cancellations of ids that nobody has submitted,
+// at a write and a document each. Beyond the budget they are refused without a call to the store; the budget of one
+// workspace leaves another one its own, and accepted jobs can be cancelled all the while.
+func TestFloodOfUnknownCancellations(t *testing.T) {
+	const period, perSecond = 20, 500
+	synctest.Test(t, func(t *testing.T) {
+		m := &memoryStore{}
+		for i := range 4 {
+			node := fmt.Sprintf("entry-%d", i)
+			m.put(archiver.EntryKey(node), archiver.Encode(archiver.Member{Node: node, Address: node + ":1"}))
+		}
+		m.put(planKey, []byte("key1"))
+		a := newAdmitter(t, m)
+		decode := a.Plan.Decode
+		a.Plan.Decode = func(data []byte) (descriptor.Plan, error) {
+			p, err := decode(data)
+			p.Accounts = append(p.Accounts, descriptor.Account{Workspace: "x", Keys: []string{"key2"}})
+			return p, err
+		}
+		m.put(planKey, []byte("key1"))
+		a.Plan.Update(m.items[planKey])
+		assert.Equal(t, a.Serve(t.Context(), submitCall("accepted")).Code, CodeDone)
+		cancelWith := func(id, key string) Code {
+			c := submitCall(descriptor.JobID(id))
+			c.Action, c.Caller.Key = ActionCancel, key
+			return a.Serve(t.Context(), c).Code
+		}
+		before := m.commitCalls.Load()
+		codes := map[Code]int{}
+		for i := range period * perSecond {
+			codes[cancelWith(fmt.Sprintf("unknown-%d", i), "key1")]++
+			time.Sleep(time.Second / perSecond)
+			if i%perSecond == 0 {
+				assert.Equal(t, cancelWith(fmt.Sprintf("other-%d", i), "key2"), CodeNoJob)
+			}
+		}
+		writes := int(m.commitCalls.Load() - before)
+		allowed := withdrawalShare * defaultStoreWrites / 4
+		assert.Assert(t, float64(writes) <= allowed*(period+withdrawalBurstTime.Seconds()), "%d writes", writes)
+		assert.Assert(t, codes[CodeNoJob] > 0 && codes[CodeNoJob]+codes[CodeRefused] == period*perSecond, "%v", codes)
+		assert.Equal(t, cancelWith("accepted", "key1"), CodeDone)
+		assert.Assert(t, m.grantCalls.Load() <= 2)
+	})
+}
+
 // TestJobsAreIsolatedByWorkspace guards against a caller that sees the job of another workspace in the same queue. It
 // must be reported as missing.
 func TestJobsAreIsolatedByWorkspace(t *testing.T) {
--- a/internal/admitter/state.go
+++ b/internal/admitter/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"persimmontrail/internal/archiver"
@@ -50,10 +51,16 @@
 	if err := archiver.Decode(i.Value, &r); err != nil {
 		return r, i, errors.Join(ErrRefused, err)
 	}
-	if r.Workload.Queue != t.Queue.Name || r.Workload.Workspace != t.Workspace {
-		return r, i, ErrNoJob
+	return r, i, checkRecord(&r, t)
+}
+
+// checkRecord returns ErrNoJob for the record of a workload of another queue or workspace than the target's, and for that
+// of a workload which was cancelled before it was accepted.
+func checkRecord(r *planner.Record, t Target) error {
+	if r.Withdrawn() || r.Workload.Queue != t.Queue.Name || r.Workload.Workspace != t.Workspace {
+		return ErrNoJob
 	}
-	return r, i, nil
+	return nil
 }
 
 // readProgress returns the progress of an existing workload. It is zero until the leader has processed the workload.
@@ -88,35 +95,39 @@
 	return p, nil
 }
 
-// Cancel marks a workload as cancelled. It also succeeds if the workload has ended or is already cancelled.
+// Cancel marks a workload as cancelled. It also succeeds if the workload has ended or is already cancelled. Before it
+// returns ErrNoJob for an id without a record, it stores a withdrawal, so that no submission which is still under way can be
+// accepted after that answer.
 func (a *Admitter) Cancel(ctx context.Context, t Target, id descriptor.JobID) error {
-	r, i, err := a.findRecord(ctx, t, id)
-	if err != nil {
-		return err
+	var r planner.Record
+	i, known := a.Documents.Get(archiver.JobKey(id))
+	if known {
+		if err := archiver.Decode(i.Value, &r); err != nil {
+			return errors.Join(ErrRefused, err)
+		}
+		if err := checkRecord(&r, t); err != nil || r.Cancelled {
+			return err
+		}
 	}
-	key := archiver.JobKey(id)
-	if a.Documents.Disconnected() && !r.Cancelled {
+	if a.Documents.Disconnected() {
 		return ErrStoreUnreachable
 	}
-	outcomeUnknown := false
-	for tries := 1; !r.Cancelled; tries++ {
-		r.Cancelled = true
-		data := archiver.Encode(r)
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		revision, err := a.Store.Commit(callCtx, archiver.Txn{
-			If:  []archiver.Condition{{Key: key, Revision: i.Revision}},
-			Put: []archiver.Write{{Key: key, Value: data}},
-		})
-		cancel()
+	if !known && !a.allowWithdrawal(t.Workspace) {
+		return fmt.Errorf("%w: too many cancellations of unknown jobs", ErrRefused)
+	}
+	failure := ErrStoreUnreachable
+	for tries := 1; ; tries++ {
+		written, err := a.commitCancellation(ctx, id, i, r)
 		var conflict *archiver.ConflictError
 		switch {
+		case err == nil && i.Revision == 0:
+			return ErrNoJob
 		case err == nil:
-			item := archiver.Item{Key: key, Value: data, Revision: revision, Created: i.Created}
-			a.Documents.Merge(item)
-			a.notifyLeader(item)
+			a.notifyLeader(written)
 			return nil
 		case errors.As(err, &conflict):
 			if len(conflict.Items) == 0 || conflict.Items[0].Revision == 0 {
+				// The record was removed, long after the end of the workload.
 				return ErrNoJob
 			}
 			i, r = conflict.Items[0], planner.Record{}
@@ -124,18 +135,52 @@
 				return errors.Join(ErrRefused, err)
 			}
 			a.Documents.Merge(i)
+			if err := checkRecord(&r, t); err != nil || r.Cancelled {
+				return err
+			}
 			continue
 		case errors.Is(err, archiver.ErrOutcomeUnknown):
-			outcomeUnknown = true
-		case !outcomeUnknown:
-			return errors.Join(ErrStoreUnreachable, err)
+			failure = ErrOutcomeUnknown
+		case failure != ErrOutcomeUnknown && !errors.Is(err, archiver.ErrLeaseLost):
+			return errors.Join(failure, err)
 		}
-		r.Cancelled = false
 		if tries >= maxCommitTries || !sleep(ctx, commitRetryDelay) {
-			return errors.Join(ErrOutcomeUnknown, err)
+			return errors.Join(failure, err)
 		}
 	}
-	return nil
+}
+
+// commitCancellation marks the record r in item i as cancelled, or stores a withdrawal if i has revision 0, on the
+// condition that nothing has changed since. It returns the written item.
+func (a *Admitter) commitCancellation(ctx context.Context, id descriptor.JobID, i archiver.Item, r planner.Record) (archiver.Item, error) {
+	r.Cancelled = true
+	var lease archiver.LeaseID
+	if i.Revision == 0 {
+		r = planner.Withdrawal(id)
+		var err error
+		if lease, err = a.withdrawalLease(ctx); err != nil {
+			return i, err
+		}
+	}
+	written := archiver.Item{Key: archiver.JobKey(id), Value: archiver.Encode(r), Created: i.Created}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	revision, err := a.Store.Commit(callCtx, archiver.Txn{
+		If:  []archiver.Condition{{Key: written.Key, Revision: i.Revision}},
+		Put: []archiver.Write{{Key: written.Key, Value: written.Value, Lease: lease}},
+	})
+	if errors.Is(err, archiver.ErrLeaseLost) {
+		a.dropWithdrawalLease(lease)
+	}
+	if err != nil {
+		return i, err
+	}
+	written.Revision = revision
+	if i.Revision == 0 {
+		written.Created = revision
+	}
+	a.Documents.Merge(written)
+	return written, nil
 }
 
 // CountWaiting counts the workloads of a queue, of all workspaces, that are neither cancelled nor ended and of which no
--- a/internal/leader/containment_test.go
+++ b/internal/leader/containment_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,25 @@
 	return planner.Progress{State: planner.JobRunning, Occurrences: map[int]*planner.Occurrence{0: {Steps: [][]planner.Task{tasks}}}}
 }
 
+// TestWithdrawalIsNotScheduled guards against the withdrawal of a job that was never accepted, which a leader takes for a
+// job, or reports as an odd document at each load and change.
+func TestWithdrawalIsNotScheduled(t *testing.T) {
+	store := newMemoryStore()
+	leaderTerm := newLeaderTerm(t, store)
+	storeDocuments(t, store, map[string]any{archiver.JobKey("k"): planner.Withdrawal("k")})
+	assert.NilError(t, leaderTerm.load(t.Context()))
+	leaderTerm.handleDocumentChange(archiver.Event{Item: store.items[archiver.JobKey("k")]})
+	assert.NilError(t, leaderTerm.runRound(t.Context()))
+	leaderTerm.handleDocumentChange(archiver.Event{Item: store.items[archiver.JobKey("k")], Removed: true})
+	_, ok := leaderTerm.core.Progress("k")
+	assert.Assert(t, !ok)
+	_, ok = store.items[archiver.ProgressKey("k")]
+	assert.Assert(t, !ok)
+	var metrics strings.Builder
+	leaderTerm.leader.Metrics.Write(&metrics)
+	assert.Assert(t, !strings.Contains(metrics.String(), "set_aside_total"), metrics.String())
+}
+
 // TestOddDocumentsAreSetAside guards against one odd document in the store that ends the leader, and each successor as
 // it loads the documents: a panic, exhausted memory, or a planner that plans for another workload. All other workloads
 // must be scheduled.
--- a/internal/leader/fuzz_test.go
+++ b/internal/leader/fuzz_test.go
@@ -20,6 +20,7 @@
 	placed := planner.Task{State: planner.TaskPlaced, Attempt: 1, Node: "n", Worker: "w", Born: 1}
 	f.Add(archiver.Encode(recordOf("j", step, descriptor.Step{Count: 1, After: []int{0}})), archiver.Encode(progressWith(placed, placed)),
 		archiver.Encode(archiver.Member{Node: "n", Address: "127.0.0.1:1"}))
+	f.Add(archiver.Encode(planner.Withdrawal("j")), archiver.Encode(progressWith(placed)), []byte{})
 	f.Add(archiver.Encode(recordOf("j", descriptor.Step{Count: -1})), []byte{}, []byte{0xff})
 	f.Add(archiver.Encode(recordOf("j", descriptor.Step{Count: 1 << 62}, descriptor.Step{Count: 1 << 62})), []byte{0xa0}, []byte{0xa0})
 	f.Fuzz(func(t *testing.T, record, progress, member []byte) {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -217,6 +217,9 @@
 			continue
 		}
 		r, err := t.decodeRecord(descriptor.JobID(name), i)
+		if err == nil && r.Withdrawn() {
+			continue
+		}
 		var p planner.Progress
 		if stored, ok := progress[descriptor.JobID(name)]; ok && err == nil {
 			if p, err = decodeProgress(&r, stored); err != nil {
@@ -275,6 +278,9 @@
 			t.leader.setAsideDocument(event.Item, err)
 			return
 		}
+		if r.Withdrawn() {
+			return
+		}
 		if _, known := t.core.Progress(r.Workload.ID); !known {
 			if stored, ok := t.leader.Mirror.Get(archiver.ProgressKey(r.Workload.ID)); ok {
 				// The record was set aside when this term began, and has changed since.
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -15,6 +15,9 @@
 	if r.Workload.ID != id {
 		return fmt.Errorf("%w: record of workload %q has the key of %q", ErrDocument, r.Workload.ID, id)
 	}
+	if r.Withdrawn() {
+		return nil
+	}
 	if err := r.Workload.Check(); err != nil {
 		return fmt.Errorf("%w: %w", ErrDocument, err)
 	}
@@ -72,6 +75,15 @@
 	Cancelled bool `cbor:",omitempty"`
 }
 
+// Withdrawal returns the record of a workload that was cancelled before it was accepted. While it is stored, no submission
+// with this id can be accepted, not even one whose write is still under way.
+func Withdrawal(id descriptor.JobID) Record {
+	return Record{Workload: descriptor.Workload{ID: id}, Cancelled: true}
+}
+
+// Withdrawn reports whether the record is a Withdrawal, which holds no workload.
+func (r *Record) Withdrawn() bool { return r.Cancelled && len(r.Workload.Steps) == 0 }
+
 // TaskState says whether a task needs an attempt. A task whose attempt failed or was lost is pending again; a task that
 // is done stays so.
 type TaskState int
