admitter: an answer by queue or workspace is confirmed by the newest configuration

A cancelling could be answered 410, and a repeated submission 400, because the job belongs to a queue that the cached configuration does not have at that path; the cache may be 1.7 s old. The job runs on.

Such an answer now reads the configuration again first, and is given only if that is the one by which it was found. It costs one read, for calls with a path or id of another queue or workspace only.

Seen to fail before: TestOtherTargetIsConfirmed (both cases).

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -351,7 +351,7 @@
 		return SubmitResult{}, fmt.Errorf("%w: cancelled before it was accepted", ErrNoJob)
 	}
 	if r.Workload.Queue != w.Queue || r.Workload.Workspace != w.Workspace {
-		return SubmitResult{}, errors.Join(ErrInvalid, errors.New("the id is taken by another job"))
+		return SubmitResult{}, fmt.Errorf("%w: the id is taken by another job: %w", ErrInvalid, errOtherTarget)
 	}
 	return SubmitResult{Repeated: true, Revision: i.Revision}, nil
 }
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -565,6 +565,53 @@
 	assert.Assert(t, time.Since(start) < storeTimeout/2)
 }
 
+// TestOtherTargetIsConfirmed guards against a final answer (a cancelled job does not exist, a submission is invalid) that
+// rests on a configuration which was replaced a moment ago: the job runs on, as a job of the queue that has its path now.
+func TestOtherTargetIsConfirmed(t *testing.T) {
+	for name, test := range map[string]struct {
+		path   string
+		queues func(version string) []descriptor.Queue
+	}{
+		"queue replaced": {"/q/j", func(version string) []descriptor.Queue {
+			return []descriptor.Queue{{Name: descriptor.QueueID("q" + version), Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 1}}
+		}},
+		"longer prefix added": {"/q/r/j", func(version string) []descriptor.Queue {
+			queues := []descriptor.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 1}}
+			if version == "2" {
+				queues = append(queues, descriptor.Queue{Name: "q2", Host: "h", Prefix: "/q/r/", Service: "s", MaxAttempts: 1})
+			}
+			return queues
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := &memoryStore{}
+			planOf := func(version string) *descriptor.Plan {
+				return &descriptor.Plan{Queues: test.queues(version), Accounts: []descriptor.Account{{Workspace: "w", Keys: []string{"key1"}}}}
+			}
+			m.put(planKey, []byte("1"))
+			outdated, current := newAdmitter(t, m), newAdmitter(t, m)
+			m.put(planKey, []byte("2"))
+			outdated.Plan.Decode = func(data []byte) (descriptor.Plan, error) { return *planOf(string(data)), nil }
+			setPlan := func(a *Admitter, version string) {
+				a.Plan.plan, a.Plan.revision = planOf(version), m.items[planKey].Revision
+				if version == "1" {
+					a.Plan.revision--
+				}
+			}
+			setPlan(current, "2")
+			submit := submitCall("j")
+			submit.Caller.Path = test.path
+			cancelCall := submit
+			cancelCall.Action = ActionCancel
+			assert.Equal(t, current.Serve(t.Context(), submit).Code, CodeDone)
+			setPlan(outdated, "1")
+			assert.Equal(t, outdated.Serve(t.Context(), submit).Code, CodeDone)
+			setPlan(outdated, "1")
+			assert.Equal(t, outdated.Serve(t.Context(), cancelCall).Code, CodeDone)
+		})
+	}
+}
+
 // TestPathMustEndWithJobID guards against taking the last segment of a longer path as the job's id. A path with more
 // than an id after the queue's prefix names no job.
 func TestPathMustEndWithJobID(t *testing.T) {
--- a/internal/admitter/serve.go
+++ b/internal/admitter/serve.go
@@ -146,6 +146,10 @@
 // maxPlanChecks bounds how many times a call is checked against the configuration, which may change during the call.
 const maxPlanChecks = 6
 
+// errOtherTarget means that a job, or the path of a call, does not belong to the queue and workspace that the call has
+// resolved to. That is final only by the newest configuration.
+var errOtherTarget = errors.New("belongs to another queue or workspace")
+
 // serveLocally answers a call from the store and the mirrors, without other entries. With allowStale it accepts a
 // target from a configuration that may be outdated.
 func (a *Admitter) serveLocally(ctx context.Context, c Call, allowStale bool) Reply {
@@ -158,10 +162,17 @@
 		}
 		var r Reply
 		r, err = a.perform(ctx, c, t)
-		if err == nil {
+		switch {
+		case err == nil:
 			return r
-		}
-		if !errors.Is(err, ErrConfigurationChanged) {
+		case errors.Is(err, errOtherTarget):
+			if refreshErr := a.refreshPlan(ctx); refreshErr != nil {
+				return errorReply(errors.Join(ErrStoreUnreachable, refreshErr))
+			}
+			if _, newest := a.Plan.Current(); newest == t.Revision {
+				return errorReply(err)
+			}
+		case !errors.Is(err, ErrConfigurationChanged):
 			return errorReply(err)
 		}
 	}
@@ -174,9 +185,9 @@
 	id := c.Workload.ID
 	if string(id) != t.PathSuffix || c.Action != ActionCount && id == "" {
 		if c.Action == ActionSubmit {
-			return Reply{}, fmt.Errorf("%w: the path must be the queue's prefix and the job's id", ErrInvalid)
+			return Reply{}, fmt.Errorf("%w: the path must be the queue's prefix and the job's id: %w", ErrInvalid, errOtherTarget)
 		}
-		return Reply{}, ErrNoJob
+		return Reply{}, errors.Join(ErrNoJob, errOtherTarget)
 	}
 	if c.Action != ActionSubmit && c.Action != ActionCount && !descriptor.ValidWorkloadID(id) {
 		// The store rejects keys with some of these ids, which must not look like an outage.
--- a/internal/admitter/state.go
+++ b/internal/admitter/state.go
@@ -57,9 +57,12 @@
 // checkRecord returns ErrNoJob for the record of a workload of another queue or workspace than the target's, and for that
 // of a workload which was cancelled before it was accepted.
 func checkRecord(r *planner.Record, t Target) error {
-	if r.Withdrawn() || r.Workload.Queue != t.Queue.Name || r.Workload.Workspace != t.Workspace {
+	if r.Withdrawn() {
 		return ErrNoJob
 	}
+	if r.Workload.Queue != t.Queue.Name || r.Workload.Workspace != t.Workspace {
+		return errors.Join(ErrNoJob, errOtherTarget)
+	}
 	return nil
 }
 
