agent: a heartbeat that is older than the last one is ignored

One with a lower number than the last is now ignored. If nothing but lower ones arrive for 4 s, the high number came from another writer and no longer counts.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,6 +92,9 @@
 	// contested is the last heartbeat of status.Incarnation that differs from status in facts that do not change during
 	// an incarnation; nil if the last one agreed.
 	contested *descriptor.WorkerStatus
+	// olderSince is when the first heartbeat of status.Incarnation arrived that is older than status; zero if the last one
+	// was not.
+	olderSince time.Time
 	// leaving is true once a shutdown notice has arrived, until a heartbeat of status.Incarnation shows that the worker
 	// still takes work. A notice that names no incarnation may come late from a former one.
 	leaving bool
@@ -142,13 +145,20 @@
 		"accelerators", status.Capacity.Accelerators, "before", a.status.Incarnation.Born)
 	a.holdUntil, a.ackedSeq, a.hasLists, a.lists, a.workerGone, a.leaving, a.leavingNamed = 0, 0, false, AttemptLists{}, false, false, false
 	a.noProcessSince, a.candidate, a.contested, a.confirmed, a.verified = time.Time{}, nil, nil, false, false
+	a.olderSince = time.Time{}
 	a.hasStatus, a.status = true, status
 	a.publish()
 }
 
-// updateStatus takes over a heartbeat of the current incarnation. Facts that do not change during an incarnation are
-// taken over only when two heartbeats in a row agree on them. The caller holds a.mu.
+// updateStatus takes over a heartbeat of the current incarnation, unless it is older than the last one. Facts that do not
+// change during an incarnation are taken over only when two heartbeats in a row agree on them. The caller holds a.mu.
 func (a *Agent) updateStatus(status descriptor.WorkerStatus) {
+	if a.olderHeartbeat(status) {
+		a.Log.Warn("ignored heartbeat that is older than the last one", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born,
+			"seq", status.Seq, "known", a.status.Seq, "draining", status.Draining)
+		a.Metrics.Increment("set_aside_total", "source", "Heartbeat")
+		return
+	}
 	if !sameFacts(status, a.status) {
 		if a.contested == nil || !sameFacts(status, *a.contested) {
 			a.Log.Warn("ignored heartbeat with other facts", "worker", status.Incarnation.Worker, "born", status.Incarnation.Born,
@@ -177,6 +187,24 @@
 	}
 }
 
+// olderHeartbeat reports whether a heartbeat of the current incarnation is older than the last one by its number. If
+// nothing newer has come for candidatePeriod, the number of the last one came from another writer and no longer counts.
+// The caller holds a.mu.
+func (a *Agent) olderHeartbeat(status descriptor.WorkerStatus) bool {
+	now := time.Now()
+	older := status.Seq > 0 && status.Seq < a.status.Seq
+	switch {
+	case !older:
+		a.olderSince = time.Time{}
+	case a.olderSince.IsZero():
+		a.olderSince = now
+	case now.Sub(a.olderSince) > candidatePeriod:
+		a.olderSince = time.Time{}
+		return false
+	}
+	return older
+}
+
 // sameFacts reports whether two heartbeats agree on what stays the same during an incarnation.
 func sameFacts(x, y descriptor.WorkerStatus) bool {
 	return x.Service == y.Service && x.FailureDomain == y.FailureDomain && x.Rack == y.Rack && x.Capacity == y.Capacity &&
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -332,6 +332,50 @@
 	}
 }
 
+// TestOlderHeartbeatIsIgnored guards against a heartbeat that was held back and undoes a newer one: starts reached a worker
+// whose drain had been acknowledged (trial late-heartbeat of review/), or a shutdown notice was refuted by what the worker
+// had said before it.
+func TestOlderHeartbeatIsIgnored(t *testing.T) {
+	heartbeat := func(seq int64, draining bool) descriptor.WorkerStatus {
+		return descriptor.WorkerStatus{Incarnation: incarnation, Service: "s", Draining: draining, Seq: seq}
+	}
+	for name, late := range map[string][]int64{"one": {3}, "doubled": {3, 3}, "several in a burst": {1, 2, 3}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				agent := newAgent(t, &fakeWorker{})
+				agent.HandleHeartbeat(heartbeat(4, true))
+				agent.HandleShutdown(incarnation)
+				for range 3 {
+					for _, seq := range late {
+						agent.HandleHeartbeat(heartbeat(seq, false))
+						assert.Equal(t, startOn(t, agent, incarnation, 0).Refused, descriptor.RefusedDraining)
+					}
+					time.Sleep(time.Second)
+				}
+				agent.HandleHeartbeat(heartbeat(5, true))
+				agent.HandleHeartbeat(heartbeat(3, false))
+				assert.Equal(t, startOn(t, agent, incarnation, 0).Refused, descriptor.RefusedDraining)
+				agent.HandleHeartbeat(heartbeat(6, false))
+				assert.Assert(t, startOn(t, agent, incarnation, 0).Started)
+			})
+		})
+	}
+}
+
+// TestOddHeartbeatNumberEnds guards against a heartbeat of another writer with a number that no worker reaches, after which
+// all heartbeats of the worker are taken for older ones for as long as it lives.
+func TestOddHeartbeatNumberEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agent := newAgent(t, &fakeWorker{})
+		agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s", Draining: true, Seq: 1 << 50})
+		for seq := range int64(5) {
+			time.Sleep(1500 * time.Millisecond)
+			agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: incarnation, Service: "s", Seq: seq + 1})
+		}
+		assert.Assert(t, startOn(t, agent, incarnation, 0).Started)
+	})
+}
+
 // TestOddFirstHeartbeatEnds guards against an agent whose first heartbeat came from another writer and that ignores the
 // real worker from then on.
 func TestOddFirstHeartbeatEnds(t *testing.T) {
--- a/pkg/descriptor/attempts.go
+++ b/pkg/descriptor/attempts.go
@@ -31,6 +31,8 @@
 	// DrainRemaining is the minimum time in milliseconds for which a draining worker stays available, or 0 if it did not
 	// report one.
 	DrainRemaining int64
+	// Seq numbers the heartbeats of an incarnation, 0 if they are not numbered. It is not sent to leaders.
+	Seq int64 `cbor:"-"`
 }
 
 // AttemptID identifies one attempt of a task.
