admitter: withdrawals have a least rate for each entry

The documents of entries that were replaced stay in the store and are counted, so that an entry's share of the budget would become ever smaller. Each entry may now make one withdrawal in 2 s whatever their number: 55 entries then spend 28 writes a second at most.

--- a/internal/admitter/withdrawals.go
+++ b/internal/admitter/withdrawals.go
@@ -17,6 +17,9 @@
 	defaultStoreWrites = 400
 	// workspaceShare is the share of an entry's budget that one workspace can use up.
 	workspaceShare = 0.5
+	// minWithdrawalRate is the least that an entry may spend a second. The documents of entries that were replaced stay in
+	// the store, so that the share of each entry would become ever smaller.
+	minWithdrawalRate = 0.5
 	// minWithdrawalBurst is the smallest number of withdrawals that an entry makes at once.
 	minWithdrawalBurst = 4
 	// withdrawalBurstTime is the time over which an unused budget adds up.
@@ -69,7 +72,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	rate := withdrawalShare * a.storeWrites() / float64(a.countEntries(now))
+	rate := max(withdrawalShare*a.storeWrites()/float64(a.countEntries(now)), minWithdrawalRate)
 	burst := max(rate*withdrawalBurstTime.Seconds(), minWithdrawalBurst)
 	if w.byWorkspace == nil {
 		w.byWorkspace = map[descriptor.WorkspaceID]*tokenBucket{}
