planner, connector: what a reading of the change found

A refusal of an attempt that runs pauses no starts: the worker has accepted it. A pause is never shorter than its length; the grid cut the first one to almost nothing at worst. DropStart is not named like the withdrawals of jobs. The failure of a call is built once, after the trace has ended.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -98,14 +99,12 @@
 }
 
 // Do makes one call, to the address in the URL of the request, and reads up to maxBody bytes of the response. Its
-// errors are of type *Failure.
+// errors are of type *Failure; the status of an incomplete response is returned together with the error.
 func (c *Connector) Do(request *http.Request, maxBody int64) (Response, error) {
-	var f Failure
-	var mu sync.Mutex
+	var sent, reused atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		mu.Lock()
-		defer mu.Unlock()
-		f.Sent, f.Reused = true, i.Reused
+		reused.Store(i.Reused)
+		sent.Store(true)
 	}})
 	response, err := c.roundTrip(request.WithContext(ctx), maxBody)
 	if err == nil {
@@ -114,10 +113,7 @@
 	if !errors.Is(err, context.Canceled) && !errors.Is(err, ErrNoConnection) {
 		c.Retire(request.URL.Host)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	f.Err = err
-	return response, &f
+	return response, &Failure{Err: err, Sent: sent.Load(), Reused: reused.Load()}
 }
 
 // roundTrip returns the status of an incomplete response together with the error.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -372,7 +372,7 @@
 		}
 		if !t.core.StartAllowed(o, now) {
 			t.logOrder("start dropped, no longer allowed", o)
-			t.core.WithdrawStart(o, now)
+			t.core.DropStart(o, now)
 			t.wake()
 			continue
 		}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -34,7 +34,7 @@
 	// covers a call with orders and two reports.
 	maxStartConfirmation = 2500 * time.Millisecond
 	// minRefusalPause is how long a worker gets no start after it has refused one. The pause doubles with each refusal
-	// after it, up to maxRefusalPause, until the worker accepts a start. The longest pause leaves time to start a task
+	// after it, up to maxRefusalPause, until the worker accepts a start, and ends on the grid of refusalPlanInterval. The longest pause leaves time to start a task
 	// within 3 s of the end of whatever made the worker refuse.
 	minRefusalPause = 100 * time.Millisecond
 	maxRefusalPause = 1600 * time.Millisecond
@@ -347,7 +347,7 @@
 }
 
 // HandleRefused processes the answer that a start was refused, by the worker or its agent. The attempt is removed unless
-// it was already confirmed, and the worker gets no start for a while, whatever the reason. Refusals that the worker would
+// it was already confirmed; if it is, the worker gets no start for a while, whatever the reason. Refusals that the worker would
 // repeat make it suspect as well. Answers of other incarnations are ignored.
 func (c *Core) HandleRefused(node string, incarnation descriptor.Incarnation, id descriptor.AttemptID, refusal descriptor.Refusal, now time.Time) {
 	w := c.workers[node]
@@ -359,9 +359,12 @@
 		// What is known of the worker is out of date, and it would refuse the same order again.
 		w.suspectUntil = now.Add(suspectPeriod)
 	}
-	c.pauseStarts(w, now)
 	r := w.attempts[id]
-	if r == nil || r.confirmed {
+	if r != nil && r.confirmed {
+		return
+	}
+	c.pauseStarts(w, now)
+	if r == nil {
 		return
 	}
 	planNeeded := c.planNeeded
@@ -381,8 +384,8 @@
 	return c.refusalGrid.Add(now.Sub(c.refusalGrid).Truncate(refusalPlanInterval) + refusalPlanInterval)
 }
 
-// WithdrawStart removes an attempt whose start was not sent, since StartAllowed ruled it out.
-func (c *Core) WithdrawStart(o Order, now time.Time) {
+// DropStart removes an attempt whose start was not sent, since StartAllowed ruled it out.
+func (c *Core) DropStart(o Order, now time.Time) {
 	w := c.workers[o.Node]
 	if w == nil || w.incarnation != o.Incarnation {
 		return
@@ -398,7 +401,7 @@
 		return
 	}
 	w.refusalPause = min(max(2*w.refusalPause, minRefusalPause), maxRefusalPause)
-	w.startsPausedUntil = c.nextRefusalPlan(now.Add(w.refusalPause - refusalPlanInterval))
+	w.startsPausedUntil = c.nextRefusalPlan(now.Add(w.refusalPause - 1))
 }
 
 // HandleStarted processes a worker's answer that an attempt is present at the given worker clock. Answers of other
