agent: heartbeats during a poll do not void its answer

The poll ends with the next heartbeat, and the wake-up which that one leaves starts the next poll at once, so that it ends the same way.

The answer now counts for every announcement of the same incarnation.

Seen to fail before: TestFrequentHeartbeatsAreConfirmed.

Ruled out: the numbers of heartbeats (no line of an ignored one), the pause after refused starts (none was refused), the notice of the shutdown (the worker had announced its drain).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -338,15 +338,15 @@
 	return 0
 }
 
-// judgeCandidate decides on an announced incarnation by the worker's answer to a poll that was addressed to it. Without
-// an answer it stays a candidate. The caller holds a.mu.
+// judgeCandidate decides on an announced incarnation by the worker's answer to a poll that was addressed to it. Further
+// heartbeats of it may have arrived during the poll. Without an answer it stays a candidate. The caller holds a.mu.
 func (a *Agent) judgeCandidate(candidate *descriptor.WorkerStatus, lists AttemptLists, err error) {
-	if a.candidate != candidate {
+	if a.candidate == nil || a.candidate.Incarnation != candidate.Incarnation {
 		return
 	}
 	switch {
 	case err == nil && confirms(lists, candidate.Incarnation):
-		a.beginIncarnation(*candidate)
+		a.beginIncarnation(*a.candidate)
 	case err == nil, errors.Is(err, ErrOtherIncarnation):
 		a.Log.Warn("ignored heartbeat of an incarnation that the worker denies", "worker", candidate.Incarnation.Worker,
 			"born", candidate.Incarnation.Born, "known", a.status.Incarnation.Born, "answered", lists.Incarnation.Born, "err", err)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -44,6 +44,8 @@
 	acked int64
 	// clockOrigin is the time at which the worker's clock was zero.
 	clockOrigin time.Time
+	// holdDelay is how much longer the worker takes to answer a poll.
+	holdDelay time.Duration
 }
 
 func (f *fakeWorker) clock() descriptor.WorkerClock {
@@ -65,7 +67,7 @@
 
 func (f *fakeWorker) hold(ctx context.Context, h HoldRequest) (AttemptLists, error) {
 	select {
-	case <-time.After(h.Wait + time.Millisecond):
+	case <-time.After(h.Wait + f.holdDelay + time.Millisecond):
 	case <-ctx.Done():
 		return AttemptLists{}, ErrNoAnswer
 	}
@@ -376,6 +378,27 @@
 	})
 }
 
+// TestFrequentHeartbeatsAreConfirmed guards against a worker that is never used again after a restart, since each heartbeat
+// of its new incarnation makes the agent disregard the answer to the poll that the one before had caused. Where orders go
+// with heartbeats, polls take as long as the time between two of them (soak, seed 101 with orders in heartbeats, once in
+// two CI runs beside load).
+func TestFrequentHeartbeatsAreConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{holdDelay: 150 * time.Millisecond}
+		agent := newAgent(t, worker)
+		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+		time.Sleep(time.Second)
+		worker.restart(2)
+		next := descriptor.Incarnation{Worker: "w", Born: 2}
+		for seq := range int64(20) {
+			agent.HandleHeartbeat(descriptor.WorkerStatus{Incarnation: next, Service: "s", Seq: seq + 1})
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, agent.Sync(t.Context(), SyncRequest{Fence: 1}).Status.Incarnation, next)
+		assert.Assert(t, startOn(t, agent, next, 0).Started)
+	})
+}
+
 // TestOddFirstHeartbeatEnds guards against an agent whose first heartbeat came from another writer and that ignores the
 // real worker from then on.
 func TestOddFirstHeartbeatEnds(t *testing.T) {
