--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -58,6 +58,9 @@
 	}
 	orders = append(orders, c.stopStalledAndSlow(now)...)
 	orders = append(orders, c.stopOnDraining(now)...)
+	if c.reserve.updated.IsZero() {
+		c.recallUrgentDemand(now)
+	}
 	c.reserve.update(c.urgentDemand(), now)
 	p := c.newPass(now)
 	for _, g := range c.readyGroups(now, p.withinGuarantee) {
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -13,6 +13,8 @@
 	// reserveDecay is the time constant with which the peak of urgent demand decays. Bursts of urgent work last about
 	// six seconds and come several times a minute.
 	reserveDecay = 30 * time.Second
+	// reserveMemory is the age from which urgent workloads have no part in the peak that a new leader recalls.
+	reserveMemory = 3 * reserveDecay
 	// maxReserveShare is the largest share of the accelerators that may stay idle for urgent work.
 	maxReserveShare = 0.4
 	// busyShare is the used share of the fleet from which the reserve is enforced however long other work waits. While
@@ -44,6 +46,36 @@
 	r.peak = max(r.peak, float64(demand))
 }
 
+// recallUrgentDemand estimates, before the first plan of a leader, the peak that the former leaders had tracked. It takes
+// the demand of each urgent workload that is still stored to last from its release for the length of its criticalPath.
+func (c *Core) recallUrgentDemand(now time.Time) {
+	type demand struct {
+		begin, end   time.Time
+		accelerators descriptor.Accelerators
+	}
+	var demands []demand
+	for _, j := range c.jobs {
+		if w := &j.record.Workload; w.Priority == 0 && w.Times == 0 && !j.record.Cancelled {
+			demands = append(demands, demand{j.arrived, j.arrived.Add(c.criticalPath(j)), peakAccelerators(j)})
+		}
+	}
+	slices.SortFunc(demands, func(a, b demand) int { return a.begin.Compare(b.begin) })
+	first := 0
+	for i, d := range demands {
+		if now.Sub(d.begin) > reserveMemory {
+			first = i + 1
+			continue
+		}
+		var sum descriptor.Accelerators
+		for _, o := range demands[first : i+1] {
+			if o.end.After(d.begin) {
+				sum += o.accelerators
+			}
+		}
+		c.reserve.update(sum, d.begin)
+	}
+}
+
 // urgentDemand returns the accelerators that urgent workloads use or wait for, taken as their peakAccelerators.
 func (c *Core) urgentDemand() descriptor.Accelerators {
 	var sum descriptor.Accelerators
