--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -234,6 +234,7 @@
 		t.core.Load(r, p, now)
 		loaded++
 	}
+	t.core.ExpectReports(slices.Collect(maps.Keys(t.links)), now)
 	t.leader.Log.Info("documents loaded", "jobs", loaded, "agents", len(t.links), "took", time.Since(t.startedAt))
 	return nil
 }
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -296,6 +296,10 @@
 		p.noRoom[d] = true
 		return nil
 	}
+	if p.core.settling(p.now) {
+		p.noRoom[d] = true
+		return nil
+	}
 	if fitsWhenEmpty && p.now.Sub(g.job.waitingSince) < p.rackWait(g) {
 		p.core.planBy(g.job.waitingSince.Add(p.rackWait(g)))
 		p.noRoom[d] = true
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -89,6 +89,9 @@
 	workMeans map[descriptor.QueueID]*meanWork
 	// reserve tracks how many accelerators to keep free for urgent work.
 	reserve reserve
+	// unheard is the set of nodes whose first report is awaited until settledAt.
+	unheard   map[string]bool
+	settledAt time.Time
 	// nextPlanAt is the earliest time at which a plan may differ without a new event; zero means never.
 	nextPlanAt time.Time
 	// lastRefusalAt is when the last start was refused; refusalGrid is the origin of the grid of refusalPlanInterval.
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -115,6 +115,9 @@
 	if g.level == levelGuaranteed {
 		return true
 	}
+	if p.core.settling(p.now) {
+		return false
+	}
 	if p.core.expectedLateness(g.job, g.occurrence, p.now) == tooLate {
 		return false
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -118,6 +118,7 @@
 		c.planNeeded = true
 	}
 	w.status, w.statusKnown, w.lastReportAt = o.Status, true, o.Received
+	delete(c.unheard, o.Node)
 	for _, e := range o.Ended {
 		if e.Seq > w.recordedSeq {
 			w.recordedSeq = e.Seq
