agent, leader: reports carry their order, and overtaken ones are set aside

Reports of one agent come over several connections and were taken in the order of arrival.

A report now carries the life of its agent, a number within that life, and the life that the leader knew when it sent the call. reportOrder decides newer, older or undecided; term.judge is the only place that lets a report in. A link that replaces another one keeps the order.

FuzzReport names the node, as it names the fence, so that reports still reach the planner.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -76,6 +77,9 @@
 	startSlots chan struct{}
 	// version numbers the states of the report; publish raises it.
 	version uint64
+	// life identifies this process in its reports; 0 until it is first needed. reports counts them.
+	life    Life
+	reports uint64
 	// fence is the highest fence that a leader has sent, 0 before the first call.
 	fence descriptor.Fence
 	// hasStatus is true once status holds a heartbeat. status.Incarnation changes only to one that the worker has
@@ -421,18 +425,20 @@
 // Sync executes a leader's orders and returns their results in a report. Without orders it waits, up to request.Wait,
 // for a version of the report that the leader does not have.
 func (a *Agent) Sync(ctx context.Context, request SyncRequest) Report {
-	if !a.acceptCall(request) {
-		return a.report(nil)
-	}
-	results := a.executeOrders(ctx, request)
-	switch {
-	case len(results) == 0:
-		a.awaitChange(ctx, request)
-	case len(request.Stops) > 0:
-		// The leader needs lists that were read after the stops.
-		a.pollWorker(ctx, 0, false)
+	var results []Result
+	if a.acceptCall(request) {
+		results = a.executeOrders(ctx, request)
+		switch {
+		case len(results) == 0:
+			a.awaitChange(ctx, request)
+		case len(request.Stops) > 0:
+			// The leader needs lists that were read after the stops.
+			a.pollWorker(ctx, 0, false)
+		}
 	}
-	return a.report(results)
+	report := a.report(results)
+	report.KnownLife = request.KnownLife
+	return report
 }
 
 // acceptCall raises the fence, the hold deadline and the acknowledgement to those of the call. It returns false for a
@@ -598,13 +604,14 @@
 	return a.lists.Clock
 }
 
-// awaitChange waits, up to request.Wait, until the version of the report differs from request.KnownVersion.
+// awaitChange waits, up to request.Wait, until the version of the report differs from request.KnownVersion. It does not
+// wait if the leader knows another life.
 func (a *Agent) awaitChange(ctx context.Context, request SyncRequest) {
 	t := time.NewTimer(request.Wait)
 	defer t.Stop()
 	for {
 		a.mu.Lock()
-		differs := a.version != request.KnownVersion
+		differs := a.version != request.KnownVersion || request.KnownLife != 0 && request.KnownLife != a.lifeID()
 		if a.changed == nil {
 			a.changed = make(chan struct{})
 		}
@@ -623,13 +630,22 @@
 	}
 }
 
+// lifeID returns the life of this process. The caller holds a.mu.
+func (a *Agent) lifeID() Life {
+	for a.life == 0 {
+		a.life = Life(rand.Uint64())
+	}
+	return a.life
+}
+
 func (a *Agent) report(results []Result) Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	status := a.status
 	status.Draining = !a.takesStarts()
+	a.reports++
 	return Report{
-		Node: a.Node, Version: a.version, Fence: a.fence, HasStatus: a.confirmed, Status: status, WorkerGone: a.workerGone,
+		Node: a.Node, Life: a.lifeID(), Seq: a.reports, Version: a.version, Fence: a.fence, HasStatus: a.confirmed, Status: status, WorkerGone: a.workerGone,
 		ListsCurrent: a.hasLists && a.listsFence == a.fence, Clock: a.lists.Clock,
 		Running: a.lists.Running, Ended: a.lists.Ended, AllEnds: a.lists.AllEnds, Results: results,
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -802,3 +802,26 @@
 		assert.Assert(t, started >= 40*maxConcurrentStarts, "%d started", started)
 	})
 }
+
+// TestPollOfOtherLifeIsAnsweredAtOnce guards against a leader that knows a former life of the agent and learns only at
+// the end of its poll what the present one shows, since the versions of both happen to agree.
+func TestPollOfOtherLifeIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agent := newAgent(t, &fakeWorker{})
+		agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+		time.Sleep(time.Second)
+		first := agent.Sync(t.Context(), SyncRequest{Fence: 1, Incarnation: incarnation})
+		for _, test := range []struct {
+			known Life
+			wait  time.Duration
+		}{{first.Life, time.Second}, {first.Life + 1, 0}} {
+			start := time.Now()
+			r := agent.Sync(t.Context(), SyncRequest{
+				Fence: 1, Incarnation: incarnation, KnownVersion: first.Version, KnownLife: test.known, Wait: time.Second,
+			})
+			assert.Equal(t, time.Since(start), test.wait)
+			assert.Equal(t, r.KnownLife, test.known)
+			assert.Assert(t, r.Life == first.Life && r.Seq > first.Seq)
+		}
+	})
+}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -28,6 +28,8 @@
 	// KnownVersion is the version of the last report that the leader has, 0 if it has none. The agent answers a poll at
 	// once if its report has another version.
 	KnownVersion uint64
+	// KnownLife is the life of the newest report that the leader has accepted, 0 if there is none.
+	KnownLife Life
 	// Wait bounds how long the agent waits for a newer report. A call with orders does not wait for one.
 	Wait time.Duration
 	// Incarnation is the worker's incarnation to which all of the following fields apply. It is zero while the leader does
@@ -93,11 +95,20 @@
 	return r, nil
 }
 
-// Report is the agent's answer to a SyncRequest.
+// Life identifies one run of an agent's process. It is a random number, so that lives have no order of their own: of two
+// lives on one node, the later one is that which has answered a call with the other as KnownLife.
+type Life uint64
+
+// Report is the agent's answer to a SyncRequest. Reports come over several connections and may overtake each other.
 type Report struct {
-	_       struct{} `cbor:",toarray"`
-	Node    string
-	Version uint64
+	_    struct{} `cbor:",toarray"`
+	Node string
+	Life Life
+	// Seq numbers the reports of a life in the order of the states that they show.
+	Seq uint64
+	// KnownLife is that of the call.
+	KnownLife Life
+	Version   uint64
 	// Fence is the highest fence that the agent has seen.
 	Fence descriptor.Fence
 	// HasStatus is true if Status holds the last heartbeat of an incarnation that the worker itself has confirmed.
--- a/internal/leader/fuzz_test.go
+++ b/internal/leader/fuzz_test.go
@@ -91,7 +91,7 @@
 		for _, o := range orders {
 			sent.Starts = append(sent.Starts, agent.Start{AttemptID: o.Attempt})
 		}
-		report.Fence = leaderTerm.fence
+		report.Node, report.Fence = l.node, leaderTerm.fence
 		leaderTerm.handleResults(l, sent, report, time.Now())
 		leaderTerm.core.Plan(time.Now())
 		l.holdExpired(time.Now())
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -62,7 +62,9 @@
 	draining bool
 
 	// mu guards the following fields.
-	mu          sync.Mutex
+	mu sync.Mutex
+	// order tells which of the agent's reports is the newest.
+	order       reportOrder
 	incarnation descriptor.Incarnation
 	// maxHoldUntil is the latest hold deadline sent to this incarnation. A former leader cannot set a later one, since
 	// the agent refuses its calls.
@@ -80,7 +82,7 @@
 func (t *term) ctx() context.Context { return t.linkCtx }
 
 // addAgent opens a link to an agent, or replaces the link if the agent's address has changed. A replacement keeps what
-// is known of the worker's clock, incarnation and hold deadline.
+// is known of the agent's reports and of the worker's clock, incarnation and hold deadline.
 func (t *term) addAgent(ctx context.Context, item archiver.Item) {
 	member, err := archiver.DecodeMember(item)
 	if err != nil {
@@ -94,8 +96,10 @@
 	l := &link{term: t, node: member.Node, address: member.Address, waitingSince: t.startedAt}
 	if old != nil {
 		old.cancel()
-		l.waitingSince, l.reported, l.lastClock, l.lastClockAt, l.incarnation, l.maxHoldUntil = old.waitingSince, old.reported,
-			old.lastClock, old.lastClockAt, old.incarnation, old.maxHoldUntil
+		old.mu.Lock()
+		l.waitingSince, l.reported, l.lastClock, l.lastClockAt, l.incarnation, l.maxHoldUntil, l.order = old.waitingSince, old.reported,
+			old.lastClock, old.lastClockAt, old.incarnation, old.maxHoldUntil, old.order
+		old.mu.Unlock()
 	}
 	var linkCtx context.Context
 	linkCtx, l.cancel = context.WithCancel(ctx)
@@ -147,7 +151,7 @@
 	defer l.mu.Unlock()
 	l.maxHoldUntil = max(l.maxHoldUntil, l.holdUntil)
 	return agent.SyncRequest{
-		Fence: l.term.fence, KnownVersion: knownVersion, Wait: l.term.pollWait(), Incarnation: l.incarnation,
+		Fence: l.term.fence, KnownVersion: knownVersion, KnownLife: l.order.life, Wait: l.term.pollWait(), Incarnation: l.incarnation,
 		HoldUntil: l.holdUntil, AckedSeq: l.ackedSeq,
 	}
 }
@@ -158,6 +162,7 @@
 // take seconds to find that a start was lost.
 func (l *link) send(orders agent.SyncRequest) {
 	l.mu.Lock()
+	orders.KnownLife = l.order.life
 	if l.incarnation == orders.Incarnation {
 		l.maxHoldUntil = max(l.maxHoldUntil, l.holdUntil)
 		orders.HoldUntil, orders.AckedSeq = l.holdUntil, l.ackedSeq
@@ -254,11 +259,11 @@
 	return float64(l.lastClock)+elapsed > float64(expiry)
 }
 
-// handleReport processes an agent's report. Reports to a replaced link or under another fence are ignored. Lists that
-// are not current do not reach the planner and extend no hold deadline. Once the incarnation has reported, the same
-// holds for lists that are older than the last ones, or that repeat them while Draining is unchanged.
+// handleReport processes an agent's report if it is the newest one. Lists that are not current do not reach the planner
+// and extend no hold deadline. Once the incarnation has reported, the same holds for lists that are older than the last
+// ones, or that repeat them while Draining is unchanged.
 func (t *term) handleReport(l *link, report agent.Report, receivedAt time.Time) {
-	if t.links[l.node] != l || report.Fence != t.fence {
+	if t.judge(l, &report) != verdictNewer {
 		return
 	}
 	if report.WorkerGone {
@@ -293,8 +298,13 @@
 	t.pendingStops = append(t.pendingStops, stops...)
 }
 
-// handleResults processes the results of starts and stops, and then the report that came with them.
+// handleResults processes the results of starts and stops, and then the report that came with them. Results stay true
+// when the report has been overtaken: each is about one attempt in one incarnation, and what the lists have shown of the
+// attempt goes before it.
 func (t *term) handleResults(l *link, sent agent.SyncRequest, report agent.Report, receivedAt time.Time) {
+	if report.Node != l.node {
+		report.Results = nil
+	}
 	for _, x := range report.Results {
 		switch {
 		case x.Stopped:
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -106,8 +106,8 @@
 	return w
 }
 
-// Observe processes a report and returns the stop orders that follow from it. Reports of one incarnation must arrive
-// in the order of their clocks.
+// Observe processes a report and returns the stop orders that follow from it. Reports must arrive in the order in which
+// the agent made them, and those of one incarnation in the order of their clocks.
 func (c *Core) Observe(o Observation) []Order {
 	w := c.workerOn(o.Node)
 	var orders []Order
