--- a/internal/leader/order_test.go
+++ b/internal/leader/order_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"persimmontrail/internal/agent"
+	"persimmontrail/internal/archiver"
 	"persimmontrail/internal/planner"
 	"persimmontrail/internal/recorder"
 	"persimmontrail/pkg/descriptor"
@@ -226,3 +227,38 @@
 		assert.Equal(rt, newest, len(history)-1)
 	})
 }
+
+// TestOrderOutlivesAddress guards against an old report that counts again when the agent's address has changed, against
+// one that arrives on the former link, and against the answer of another agent that is at the address now.
+func TestOrderOutlivesAddress(t *testing.T) {
+	leaderTerm := newTerm(newLeader(newMemoryStore(), "me"), 1)
+	leaderTerm.linkCtx = t.Context()
+	leaderTerm.leader.CallAgent = func(ctx context.Context, _ string, _ agent.SyncRequest) (agent.Report, error) {
+		<-ctx.Done()
+		return agent.Report{}, ctx.Err()
+	}
+	open := func(address string) *link {
+		value := archiver.Encode(archiver.Member{Node: "n", Address: address})
+		leaderTerm.addAgent(t.Context(), archiver.Item{Key: archiver.AgentKey("n"), Value: value})
+		return leaderTerm.links["n"]
+	}
+	former := open("127.0.0.1:1")
+	assert.Equal(t, leaderTerm.judge(former, &agent.Report{Node: "n", Fence: 1, Life: 5, Seq: 3}), verdictNewer)
+	present := open("127.0.0.1:2")
+	assert.Assert(t, present != former)
+	assert.Equal(t, present.nextPoll(0).KnownLife, agent.Life(5))
+	for _, test := range []struct {
+		link   *link
+		report agent.Report
+		result verdict
+	}{
+		{former, agent.Report{Node: "n", Fence: 1, Life: 5, Seq: 4, KnownLife: 5}, verdictForeign},
+		{present, agent.Report{Node: "other", Fence: 1, Life: 7, Seq: 4, KnownLife: 5}, verdictForeign},
+		{present, agent.Report{Node: "n", Fence: 2, Life: 5, Seq: 4, KnownLife: 5}, verdictOtherFence},
+		{present, agent.Report{Node: "n", Fence: 1, Life: 5, Seq: 2, KnownLife: 5}, verdictOlder},
+		{present, agent.Report{Node: "n", Fence: 1, Life: 4, Seq: 9}, verdictOtherLife},
+		{present, agent.Report{Node: "n", Fence: 1, Life: 6, Seq: 1, KnownLife: 5}, verdictNewer},
+	} {
+		assert.Equal(t, leaderTerm.judge(test.link, &test.report), test.result, "%+v", test.report)
+	}
+}
