limiter: bound what all clients of a process take together

Cause: every server read whole bodies of any number of clients into memory, net/http held up to 1 MiB of header for each connection, and connections were not bounded. Change: package limiter owns a budget in bytes that connections, bodies as they are read and decoded messages draw on, with shares for ports, client addresses and workspaces; limits on connections, requests, time without progress, header fields, requests sent ahead, steps and list elements. All servers of entries and agents use it. The route and the key are looked up before a body is read. Withdrawals use golang.org/x/time/rate.

--- a/cmd/persimmontrail-node/agent.go
+++ b/cmd/persimmontrail-node/agent.go
@@ -21,11 +21,11 @@
 		workerAgent.HoldAttempts, workerAgent.StartAttempt, workerAgent.StopAttempt = worker.HoldAttempts, worker.StartAttempt, worker.StopAttempt
 	}
 	go workerAgent.Run(ctx)
-	peerServer, err := p.serve(nodeSettings.PeerAddress, workerAgent.Handler())
+	peerServer, err := p.serve(leaderPort, nodeSettings.PeerAddress, workerAgent.Handler())
 	if err != nil {
 		return err
 	}
-	heartbeatServer, err := p.serve(nodeSettings.HeartbeatAddress, platform.HeartbeatHandler(workerAgent, carrier, p.log))
+	heartbeatServer, err := p.serve(heartbeatPort, nodeSettings.HeartbeatAddress, platform.HeartbeatHandler(workerAgent, carrier, p.log))
 	if err != nil {
 		return err
 	}
--- a/cmd/persimmontrail-node/entry.go
+++ b/cmd/persimmontrail-node/entry.go
@@ -77,7 +77,7 @@
 		PlanConfirmedAt: operatorKeys.Confirmed, Entries: connector.Connector{DialTimeout: entryDialTimeout, MaxIdle: 4},
 		StoreWrites: nodeSettings.StoreWrites, EndedRetention: nodeSettings.EndedRetention, Log: p.log, Metrics: p.metrics,
 	}
-	ingress := &platform.Ingress{Serve: admission.Serve, Plan: plans, Log: p.log}
+	ingress := &platform.Ingress{Serve: admission.Serve, Precheck: admission.Precheck, Plan: plans, Log: p.log}
 
 	// Scheduling ends first when the process stops; requests are served until the end.
 	schedulerCtx, stopScheduler := context.WithCancel(ctx)
@@ -95,15 +95,15 @@
 		scheduler.Run(schedulerCtx)
 	}()
 
-	peerServer, err := p.serve(nodeSettings.PeerAddress, admission.PeerHandler())
+	peerServer, err := p.serve(entryPeerPort, nodeSettings.PeerAddress, admission.PeerHandler())
 	if err != nil {
 		return err
 	}
-	callerServer, err := p.serve(nodeSettings.CallerAddress, ingress)
+	callerServer, err := p.serve(callerPort, nodeSettings.CallerAddress, ingress)
 	if err != nil {
 		return err
 	}
-	readinessServer, err := p.serve(nodeSettings.ReadyAddress, ingress.ReadyHandler())
+	readinessServer, err := p.serve(readinessPort, nodeSettings.ReadyAddress, ingress.ReadyHandler())
 	if err != nil {
 		return err
 	}
--- a/cmd/persimmontrail-node/hostile_test.go
+++ b/cmd/persimmontrail-node/hostile_test.go
@@ -153,13 +153,13 @@
 }
 
 // shortHeaders returns 900 KiB of header fields with distinct names.
-func shortHeaders() string {
+var shortHeaders = sync.OnceValue(func() string {
 	var b strings.Builder
 	for i := 0; b.Len() < 900<<10; i++ {
 		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\n")
 	}
 	return b.String()
-}
+})
 
 func send(c net.Conn, data string) bool {
 	// The server may not read or may have closed the connection, both of which are allowed.
@@ -298,6 +298,7 @@
 		if err = n.ordinaryRequest(); err == nil {
 			return
 		}
+		t.Logf("ordinary request refused: %v", err)
 		time.Sleep(time.Second)
 	}
 	t.Errorf("no answer to an ordinary request: %v", err)
--- a/cmd/persimmontrail-node/main.go
+++ b/cmd/persimmontrail-node/main.go
@@ -14,14 +14,15 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"persimmontrail/internal/limiter"
 	"persimmontrail/internal/recorder"
 	"persimmontrail/platform"
 )
@@ -36,6 +37,9 @@
 // metricsPort is the port of the metrics server. The deployment file names the same port.
 const metricsPort = 9464
 
+// runtimeMemoryShare is the part of the VM's memory at which the runtime collects garbage more often.
+const runtimeMemoryShare = 0.85
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -74,8 +78,10 @@
 	announcedAddress string
 	log              *log.Logger
 	metrics          *recorder.Metrics
-	servers          sync.WaitGroup
-	serverErrors     chan error
+	// guard bounds what the clients of all servers take together.
+	guard        *limiter.Guard
+	servers      sync.WaitGroup
+	serverErrors chan error
 }
 
 // command returns the subcommand for a role. It loads the settings, logs to out and calls runRole with a context that
@@ -83,6 +89,9 @@
 func command(name, help string, out *recorder.Writer, runRole func(ctx context.Context, p *process) error) *ffcli.Command {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	announcedAddress := flags.String("announce", "", "`address` that other processes use to reach this one; empty means the address that it listens on")
+	clientMemory := flags.Int64("client-memory", 0, "`MiB` of memory that all clients together can take; 0 means a quarter of the VM's memory")
+	stallTimeout := flags.Duration("stall-timeout", limiter.DefaultStallTimeout, "`time` without progress after which a body or an answer is given up")
+	bodyTimeout := flags.Duration("body-timeout", limiter.DefaultBodyTimeout, "`time` in which a client must send a body")
 	return &ffcli.Command{
 		Name: name, ShortUsage: "persimmontrail-node " + name + " [flags]", ShortHelp: help,
 		LongHelp: "Each flag can be set by an environment variable, for instance PERSIMMONTRAIL_ANNOUNCE.",
@@ -97,10 +106,20 @@
 				logger.Error("failed to load settings", "err", err)
 				return settingsError{err}
 			}
+			limits, err := limiter.Limits{
+				VMMemory: nodeSettings.VMMemory, Descriptors: nodeSettings.Descriptors, ClientMemory: limiter.Bytes(*clientMemory) << 20,
+				StallTimeout: *stallTimeout, BodyTimeout: *bodyTimeout,
+			}.Complete()
+			if err != nil {
+				logger.Error("failed to check limits on clients", "err", err)
+				return settingsError{err}
+			}
+			debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(limits.VMMemory)))
 			p := &process{
 				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), log: logger,
 				metrics: &recorder.Metrics{}, serverErrors: make(chan error, 8),
 			}
+			p.guard = &limiter.Guard{Limits: limits, Log: logger, Metrics: p.metrics}
 			logger.Info("process started", "node", nodeSettings.Node, "failure_domain", nodeSettings.FailureDomain,
 				"region", nodeSettings.Region, "store", nodeSettings.StoreAddress)
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
@@ -129,14 +148,24 @@
 	}
 }
 
+// The parts of a process's limits that the clients of each port can use up.
+var (
+	callerPort    = limiter.Port{Name: "callers", Memory: 0.6, Connections: 0.45, Requests: 0.15}
+	readinessPort = limiter.Port{Name: "readiness", Memory: 0.1, Connections: 0.05, Requests: 0.02}
+	entryPeerPort = limiter.Port{Name: "entries", Memory: 0.4, Connections: 0.15, Requests: 0.05}
+	leaderPort    = limiter.Port{Name: "leaders", Memory: 0.5, Connections: 0.2, Requests: 0.1}
+	heartbeatPort = limiter.Port{Name: "heartbeats", Memory: 0.5, Connections: 0.1, Requests: 0.05}
+	metricsAccess = limiter.Port{Name: "metrics", Memory: 0.1, Connections: 0.05, Requests: 0.02}
+)
+
 // serve starts a server on an address and returns an error if it cannot listen there. If the server fails later, it
 // sends the error to serverErrors.
-func (p *process) serve(address string, h http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
+func (p *process) serve(port limiter.Port, address string, h http.Handler) (*http.Server, error) {
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second}
+	server, listener := p.guard.Serve(port, inner, h)
 	p.servers.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.serverErrors <- err
@@ -150,7 +179,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.Write(w) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	return p.serve(net.JoinHostPort(host, fmt.Sprint(metricsPort)), mux)
+	return p.serve(metricsAccess, net.JoinHostPort(host, fmt.Sprint(metricsPort)), mux)
 }
 
 // wait blocks until ctx ends, which is a requested stop and returns nil, or until a server fails. It returns the error
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +12,7 @@
 	"persimmontrail/internal/archiver"
 	"persimmontrail/internal/connector"
 	"persimmontrail/internal/encoder"
+	"persimmontrail/internal/limiter"
 )
 
 // Paths of the HTTP interface between entries.
@@ -287,12 +287,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+CallPath, func(w http.ResponseWriter, r *http.Request) {
 		var c Call
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
-		if err == nil {
-			err = encoder.Unmarshal(data, &c)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !receive(w, r, &c, func() int64 { return c.Workload.MemorySize() }) {
 			return
 		}
 		c.Forwarded = true
@@ -301,24 +296,14 @@
 	})
 	mux.HandleFunc("POST "+DocumentPath, func(w http.ResponseWriter, r *http.Request) {
 		var i archiver.Item
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
-		if err == nil {
-			err = encoder.Unmarshal(data, &i)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !receive(w, r, &i, func() int64 { return int64(len(i.Value)) }) {
 			return
 		}
 		a.Documents.Merge(i)
 	})
 	mux.HandleFunc("POST "+PlanPath, func(w http.ResponseWriter, r *http.Request) {
 		var knownRevision archiver.Revision
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
-		if err == nil {
-			err = encoder.Unmarshal(data, &knownRevision)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !receive(w, r, &knownRevision, func() int64 { return 0 }) {
 			return
 		}
 		a.writeCBOR(w, a.planUpdate(knownRevision))
@@ -326,6 +311,22 @@
 	return mux
 }
 
+// receive reads and decodes the body of a request. size returns the memory of the decoded value. After a failure, which
+// it answers, receive returns false.
+func receive(w http.ResponseWriter, r *http.Request, value any, size func() int64) bool {
+	data, err := limiter.ReadBody(w, r, maxMessageBytes)
+	if err == nil {
+		err = limiter.Decode(w, r, func() (limiter.Bytes, error) {
+			err := encoder.UnmarshalMessage(data, value)
+			return limiter.Bytes(size()), err
+		})
+	}
+	if err != nil {
+		http.Error(w, err.Error(), limiter.Status(err))
+	}
+	return err == nil
+}
+
 // PlanUpdate answers an entry that cannot reach the store and asks for the store keys that operators write.
 type PlanUpdate struct {
 	// Fresh is true if the answering entry has confirmed its configuration as the newest within maxPlanAge.
--- a/internal/admitter/serve.go
+++ b/internal/admitter/serve.go
@@ -133,6 +133,28 @@
 	if r.Code == CodeRefused {
 		r.RetryAfter = max(min(typicalOutage-time.Since(a.Documents.Confirmed()), c.Timeout/retriesBeforeDeadline), minRetryAfter)
 	}
+	return a.report(c, r, start, servedBy)
+}
+
+// Precheck resolves a call before its workload is known. It returns the final reply if the newest configuration has no
+// such queue or key, and otherwise the workspace, which is empty if the call does not name one or cannot be resolved
+// here.
+func (a *Admitter) Precheck(ctx context.Context, c Call) (descriptor.WorkspaceID, Reply, bool) {
+	if t, err := a.lookUpTarget(c.Caller); err == nil {
+		return t.Workspace, Reply{}, false
+	}
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout-answerMargin)
+	defer cancel()
+	t, err := a.Resolve(ctx, c.Caller)
+	if errors.Is(err, ErrNoQueue) || errors.Is(err, ErrNoKey) {
+		return "", a.report(c, errorReply(err), start, "here"), true
+	}
+	return t.Workspace, Reply{}, false
+}
+
+// report adds the configuration's revision to a reply, and logs and counts the call.
+func (a *Admitter) report(c Call, r Reply, start time.Time, servedBy string) Reply {
 	_, revision := a.Plan.Current()
 	r.Config = max(r.Config, revision)
 	a.Metrics.ObserveDuration("call_seconds", time.Since(start), "action", string(c.Action), "code", string(r.Code))
--- a/internal/admitter/withdrawals.go
+++ b/internal/admitter/withdrawals.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"persimmontrail/internal/archiver"
 	"persimmontrail/pkg/descriptor"
 )
@@ -37,8 +39,8 @@
 // removes them. The zero value is ready for use.
 type withdrawals struct {
 	mu          sync.Mutex
-	entry       tokenBucket
-	byWorkspace map[descriptor.WorkspaceID]*tokenBucket
+	entry       *rate.Limiter
+	byWorkspace map[descriptor.WorkspaceID]*rate.Limiter
 	// entryCount is the number of entries in the deployment, counted at entriesCountedAt.
 	entryCount       int
 	entriesCountedAt time.Time
@@ -50,20 +52,14 @@
 	leaseUsableUntil time.Time
 }
 
-// tokenBucket is a budget that grows with time up to a bound. It is full at its first use.
-type tokenBucket struct {
-	tokens  float64
-	updated time.Time
-}
-
-// refill adds what has come in since the last call, at rate tokens a second, and returns the tokens.
-func (b *tokenBucket) refill(now time.Time, rate, burst float64) float64 {
-	if b.updated.IsZero() {
-		b.tokens = burst
+// limiterAt returns l with another rate and burst, or a new limiter if l is nil.
+func limiterAt(l *rate.Limiter, now time.Time, perSecond, burst float64) *rate.Limiter {
+	if l == nil {
+		return rate.NewLimiter(rate.Limit(perSecond), int(burst))
 	}
-	b.tokens = min(b.tokens+rate*now.Sub(b.updated).Seconds(), burst)
-	b.updated = now
-	return b.tokens
+	l.SetLimitAt(now, rate.Limit(perSecond))
+	l.SetBurstAt(now, int(burst))
+	return l
 }
 
 // allowWithdrawal takes one withdrawal of a workspace off the budget and reports whether there was one left.
@@ -72,22 +68,20 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	rate := max(withdrawalShare*a.storeWrites()/float64(a.countEntries(now)), minWithdrawalRate)
-	burst := max(rate*withdrawalBurstTime.Seconds(), minWithdrawalBurst)
+	perSecond := max(withdrawalShare*a.storeWrites()/float64(a.countEntries(now)), minWithdrawalRate)
+	burst := max(perSecond*withdrawalBurstTime.Seconds(), minWithdrawalBurst)
 	if w.byWorkspace == nil {
-		w.byWorkspace = map[descriptor.WorkspaceID]*tokenBucket{}
-	}
-	own := w.byWorkspace[id]
-	if own == nil {
-		own = &tokenBucket{}
-		w.byWorkspace[id] = own
+		w.byWorkspace = map[descriptor.WorkspaceID]*rate.Limiter{}
 	}
-	if w.entry.refill(now, rate, burst) < 1 || own.refill(now, workspaceShare*rate, workspaceShare*burst) < 1 {
+	w.entry = limiterAt(w.entry, now, perSecond, burst)
+	own := limiterAt(w.byWorkspace[id], now, workspaceShare*perSecond, workspaceShare*burst)
+	w.byWorkspace[id] = own
+	if w.entry.TokensAt(now) < 1 || own.TokensAt(now) < 1 {
 		a.Metrics.Increment("withdrawals_total", "result", "Refused")
 		return false
 	}
-	w.entry.tokens--
-	own.tokens--
+	w.entry.AllowN(now, 1)
+	own.AllowN(now, 1)
 	a.Metrics.Increment("withdrawals_total", "result", "Allowed")
 	return true
 }
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -79,7 +79,7 @@
 // DecodeSyncRequest decodes a call.
 func DecodeSyncRequest(data []byte) (SyncRequest, error) {
 	var r SyncRequest
-	if err := encoder.Unmarshal(data, &r); err != nil {
+	if err := encoder.UnmarshalMessage(data, &r); err != nil {
 		return r, fmt.Errorf("%w: %w", ErrCall, err)
 	}
 	for i := range r.Starts {
--- a/pkg/descriptor/workload.go
+++ b/pkg/descriptor/workload.go
@@ -138,6 +138,20 @@
 // Occurrences returns the number of occurrences, at least 1.
 func (w *Workload) Occurrences() int { return max(w.Times, 1) }
 
+// stepBytes is the memory of a decoded step without its texts.
+const stepBytes = 256
+
+// MemorySize returns about how many bytes of memory the workload takes, from its decoding until it is stored.
+func (w *Workload) MemorySize() int64 {
+	size := len(w.Spec) + stepBytes*len(w.Steps)
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		size += 8*len(s.After) + len(s.DataRack) + len(s.Label) + len(s.Image)
+	}
+	// The workload is encoded for the store or another entry while it is held.
+	return 2 * int64(size)
+}
+
 // Due returns the time from which occurrence k may start, counted from 0. The zero time means at once. An occurrence that
 // is due more than 292 years, the longest Duration, after the first one is due after that time.
 func (w *Workload) Due(k int) time.Time {
