limiter: answer before closing, room for the largest legal heartbeat

Cause: a connection with unread bytes was reset before the client had read the refusal, if the client asked for its end; a body of 4 MiB and its rows were over an agent's share for heartbeats on a VM of 128 MB.

--- a/cmd/persimmontrail-node/hostile_test.go
+++ b/cmd/persimmontrail-node/hostile_test.go
@@ -202,6 +202,29 @@
 	}
 }
 
+// TestLargestLegalRequests guards against limits that refuse a single request inside the limits of the platform's pages:
+// the longest body of a submission with the most steps, and the longest heartbeat.
+func TestLargestLegalRequests(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "node")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	pad := func(body string, size int) string { return body + strings.Repeat(" ", size-len(body)) }
+	t.Run("entry", func(t *testing.T) {
+		n := startNode(t, program, "entry")
+		steps := strings.Repeat(`{"count":1,"cpu":500,"after":[]},`, descriptor.MaxWorkloadTasks-1) + `{"count":1}`
+		body := `{"spec":"` + strings.Repeat("x,[", 1333) + `","steps":[` + steps + `]}`
+		assert.NilError(t, n.call("POST", "8521", "/jobs/00000000000000aa", pad(body, maxBody)))
+		assert.ErrorContains(t, n.call("POST", "8521", "/jobs/00000000000000ab", body+strings.Repeat(" ", maxBody)), "413")
+		assert.ErrorContains(t, n.call("POST", "8521", "/jobs/00000000000000ac", `{"steps":[`+strings.Repeat("null,", 4096)+`{}]}`), "400")
+	})
+	t.Run("agent", func(t *testing.T) {
+		n := startNode(t, program, "agent")
+		row := `["0123456789abcdef.0.0.1",1,"",50,0],`
+		body := `{"service":"s","state":"ready","born":1,"seq":2,"running":[` + strings.Repeat(row, 100_000) + `["0123456789abcdef.0.0.1",1,"",50,0]]}`
+		assert.NilError(t, n.call("POST", "8526", "/v1/Instances.Heartbeat/w1", pad(body, 4<<20)))
+	})
+}
+
 // attackOnce starts a process, attacks it with one crowd and checks it.
 func attackOnce(t *testing.T, program string, s shape, g target) {
 	n := startNode(t, program, g.role)
--- a/cmd/persimmontrail-node/main.go
+++ b/cmd/persimmontrail-node/main.go
@@ -154,7 +154,7 @@
 	readinessPort = limiter.Port{Name: "readiness", Memory: 0.1, Connections: 0.05, Requests: 0.02}
 	entryPeerPort = limiter.Port{Name: "entries", Memory: 0.4, Connections: 0.15, Requests: 0.05}
 	leaderPort    = limiter.Port{Name: "leaders", Memory: 0.5, Connections: 0.2, Requests: 0.1}
-	heartbeatPort = limiter.Port{Name: "heartbeats", Memory: 0.5, Connections: 0.1, Requests: 0.05}
+	heartbeatPort = limiter.Port{Name: "heartbeats", Memory: 0.8, Connections: 0.1, Requests: 0.05}
 	metricsAccess = limiter.Port{Name: "metrics", Memory: 0.1, Connections: 0.05, Requests: 0.02}
 )
 
--- a/internal/limiter/body.go
+++ b/internal/limiter/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -174,7 +175,7 @@
 // fail makes the server close the connection after the answer and counts the cause.
 func (b *body) fail(w http.ResponseWriter, err error) {
 	b.failed = true
-	w.Header().Set("Connection", "close")
+	closeAfterAnswer(w)
 	c := b.connection
 	switch {
 	case errors.Is(err, ErrNoRoom):
@@ -187,6 +188,13 @@
 	}
 }
 
+// closeAfterAnswer makes the server close the connection after the answer, but leave the client time to read it. Closing
+// a connection with unread bytes at once would reset it.
+func closeAfterAnswer(w http.ResponseWriter) {
+	// A body that is over its limit is the only way to tell the server. The error is that of this body.
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, io.NopCloser(strings.NewReader("ab")), 1))
+}
+
 // ChargeWorkspace charges what a request holds to a workspace too, or returns ErrNoRoom.
 func ChargeWorkspace(w http.ResponseWriter, r *http.Request, workspace string) error {
 	b, ok := r.Body.(*body)
--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -127,11 +127,15 @@
 	}
 }
 
-// join adds an account to the draw, or returns ErrNoRoom if it has no room for what the draw holds.
+// join adds an account to the draw unless it has that already, or returns ErrNoRoom if the account has no room for what
+// the draw holds.
 func (d *draw) join(a account) error {
 	b := d.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if d.holds(a.name) {
+		return nil
+	}
 	if d.evicted || b.accounts[a.name]+d.bytes > a.max {
 		return ErrNoRoom
 	}
--- a/internal/limiter/connection.go
+++ b/internal/limiter/connection.go
@@ -149,7 +149,8 @@
 	// bodyLeft is the part of the body that is left to read.
 	bodyLeft int64
 	header   headerScan
-	// afterHeader is the number of bytes that were received together with the end of the last header.
+	// afterHeader is the number of bytes that were received together with the end of the last header. It does not change
+	// while a request is served: the server reads one byte at most in that time.
 	afterHeader int
 	// requestsAhead counts requests in a row that were received together with a part of the next one. It belongs to the
 	// goroutine that serves the requests.
@@ -188,7 +189,7 @@
 // refuse answers a request that was not looked at.
 func (c *connection) refuse(w http.ResponseWriter, cause string) {
 	c.port.limited(cause, c.address)
-	w.Header().Set("Connection", "close")
+	closeAfterAnswer(w)
 	w.Header().Set("Content-Type", "application/json")
 	setRetryAfter(w)
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -207,8 +208,7 @@
 		if n == 0 {
 			return n, err
 		}
-		use, headerErr := c.take(p[:n])
-		c.afterHeader = n - use
+		use, headerErr := c.take(p[:n], 0)
 		if use < n {
 			c.pending = bytes.Clone(p[use:n])
 		}
@@ -217,8 +217,8 @@
 		}
 		return use, err
 	}
-	use, headerErr := c.take(c.pending[:min(len(p), len(c.pending))])
-	c.afterHeader = len(c.pending) - use
+	size := min(len(p), len(c.pending))
+	use, headerErr := c.take(c.pending[:size], len(c.pending)-size)
 	n := copy(p, c.pending[:use])
 	if c.pending = c.pending[n:]; len(c.pending) == 0 {
 		c.pending = nil
@@ -229,14 +229,19 @@
 	return n, nil
 }
 
-// take returns how many bytes of data belong to the current header or body.
-func (c *connection) take(data []byte) (int, error) {
+// take returns how many bytes of data belong to the current header or body. rest is the number of bytes that were
+// received after data.
+func (c *connection) take(data []byte, rest int) (int, error) {
 	if c.bodyLeft > 0 {
 		n := min(int64(len(data)), c.bodyLeft)
 		c.bodyLeft -= n
 		return int(n), nil
 	}
-	return c.header.take(data)
+	n, ended, err := c.header.take(data)
+	if ended {
+		c.afterHeader = len(data) - n + rest
+	}
+	return n, err
 }
 
 // refuseHeader answers a request whose header is over the limits. The server has written all earlier answers by then.
@@ -278,8 +283,8 @@
 	line int
 }
 
-// take returns how many bytes of data belong to the header, or errHeader.
-func (s *headerScan) take(data []byte) (int, error) {
+// take returns how many bytes of data belong to the header, whether it ends there, or errHeader.
+func (s *headerScan) take(data []byte) (n int, ended bool, err error) {
 	for i := 0; i < len(data); {
 		end := bytes.IndexByte(data[i:], '\n')
 		part := data[i:]
@@ -294,15 +299,15 @@
 		i += end + 1
 		if s.line == 0 && s.lines > 0 {
 			*s = headerScan{}
-			return i, nil
+			return i, true, nil
 		}
 		s.line = 0
 		if s.lines++; s.lines > maxHeaderLines {
-			return i, errHeader
+			return i, false, errHeader
 		}
 	}
 	if s.bytes > maxHeaderBytes {
-		return len(data), errHeader
+		return len(data), false, errHeader
 	}
-	return len(data), nil
+	return len(data), false, nil
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -97,7 +97,7 @@
 	// VMMemory is the memory of the VM, and Descriptors the number of descriptors that the process may open.
 	VMMemory    Bytes
 	Descriptors int
-	// ClientMemory is the budget; 0 means a quarter of VMMemory.
+	// ClientMemory is the budget; 0 means a quarter of VMMemory, but at least minClientMemory.
 	ClientMemory Bytes
 	StallTimeout time.Duration
 	BodyTimeout  time.Duration
@@ -118,7 +118,7 @@
 		l.Descriptors = DefaultDescriptors
 	}
 	if l.ClientMemory == 0 {
-		l.ClientMemory = Bytes(memoryShare * float64(l.VMMemory))
+		l.ClientMemory = max(Bytes(memoryShare*float64(l.VMMemory)), minClientMemory)
 	}
 	if l.StallTimeout == 0 {
 		l.StallTimeout = DefaultStallTimeout
@@ -232,11 +232,13 @@
 			w.Header().Set("Connection", "close")
 		}
 		if !p.addRequest(ahead > 0) {
+			b.failed = true
 			c.refuse(w, "requests")
 			return
 		}
 		defer p.removeRequest()
 		if b.draw.grow(cost) != nil {
+			b.failed = true
 			c.refuse(w, "memory")
 			return
 		}
