limiter: bodies that are being read hold no place of a request

Change: a request gives up its place while its body is read and takes one again before it is decoded; without a place it is refused, not run.

--- a/internal/limiter/body.go
+++ b/internal/limiter/body.go
@@ -25,10 +25,27 @@
 	// complete is true once the body has been read to its end.
 	complete bool
 	// failed is set once the request was refused because of its body.
-	failed  bool
+	failed bool
+	// ahead is true if the request was sent before the answer to the one before.
+	ahead bool
+	// serving is true while the request counts as one that is served.
+	serving bool
 	evicted atomic.Bool
 }
 
+// startServing reports whether the request may be served, which it is until stopServing.
+func (b *body) startServing() bool {
+	b.serving = b.serving || b.connection.port.addRequest(b.ahead)
+	return b.serving
+}
+
+func (b *body) stopServing() {
+	if b.serving {
+		b.serving = false
+		b.connection.port.removeRequest()
+	}
+}
+
 // Read reads a part of the body within the limits on time.
 func (b *body) Read(p []byte) (int, error) {
 	if b.complete {
@@ -93,6 +110,7 @@
 	if b.length > limit {
 		return nil, ErrTooLarge
 	}
+	b.stopServing()
 	b.draw.allowEviction(b.began, b.evict)
 	known := limit + 1
 	if b.length >= 0 {
@@ -109,7 +127,7 @@
 		data = data[:len(data)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			if b.draw.keep() {
+			if b.draw.keep() || !b.startServing() {
 				return nil, ErrNoRoom
 			}
 			return data, nil
@@ -161,9 +179,13 @@
 	}
 	err := ErrTooLarge
 	if b.length <= limit {
+		b.stopServing()
 		var n int64
-		if n, err = io.Copy(io.Discard, io.LimitReader(b, limit+1)); err == nil && n > limit {
+		switch n, err = io.Copy(io.Discard, io.LimitReader(b, limit+1)); {
+		case err == nil && n > limit:
 			err = ErrTooLarge
+		case err == nil && !b.startServing():
+			err = ErrNoRoom
 		}
 	}
 	if err != nil {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -178,7 +178,7 @@
 	maxRequests       int
 
 	mu sync.Mutex
-	// requests is the number of requests that are served.
+	// requests is the number of requests that are served. Those whose body is read do not count.
 	requests int
 }
 
@@ -231,12 +231,13 @@
 			p.limited("requests sent ahead", c.address)
 			w.Header().Set("Connection", "close")
 		}
-		if !p.addRequest(ahead > 0) {
+		b.ahead = ahead > 0
+		if !b.startServing() {
 			b.failed = true
 			c.refuse(w, "requests")
 			return
 		}
-		defer p.removeRequest()
+		defer b.stopServing()
 		if b.draw.grow(cost) != nil {
 			b.failed = true
 			c.refuse(w, "memory")
