--- a/internal/simulator/load.go
+++ b/internal/simulator/load.go
@@ -74,6 +74,16 @@
 	Speed    float64
 }
 
+// Failing makes a share of the attempts fail that some workers start in a period, each at the time After its start.
+type Failing struct {
+	Start    time.Duration
+	Duration time.Duration
+	// EveryNth selects the workers whose index is a multiple of it.
+	EveryNth int
+	Share    float64
+	After    time.Duration
+}
+
 // Scenario describes a fleet and its load.
 type Scenario struct {
 	Name           string
@@ -84,6 +94,9 @@
 	Bursts         []Burst
 	// Slowdowns may overlap; the speeds of overlapping ones are multiplied.
 	Slowdowns []Slowdown
+	Failing   []Failing
+	// SpeedSpread is the standard deviation of the logarithm of the workers' own speeds, whose mean is 1.
+	SpeedSpread float64
 	// Guaranteed is the number of guaranteed accelerators of each workspace. Each workload belongs to a workspace that
 	// is drawn with equal probability.
 	Guaranteed []descriptor.Accelerators
@@ -100,7 +113,8 @@
 
 // Scenarios returns the simulated deployments. Today has today's fleet and load. The others have the fleet and load
 // that users expect after growth: Overload is the base, FloodOfSmall adds a burst of workloads with small tasks (queue
-// Nest), and StandingStill adds slow and halted workers. All of them have the burst of queue Preview.
+// Nest), StandingStill adds slow and halted workers, PartFailing workers that fail some or all that they start, and Uneven
+// workers of different speeds. All of them have the burst of queue Preview.
 func Scenarios() []Scenario {
 	accelerators := []descriptor.Accelerators{1, 2, 4, 8, 8}
 	drafts := Class{
@@ -137,6 +151,14 @@
 		{Start: 6 * time.Second, Duration: 6 * time.Second, EveryNth: 8},
 		{Start: 20 * time.Second, Duration: 7 * time.Second, EveryNth: 7, Speed: 0.16},
 	}
+	partFailing := overload
+	partFailing.Name = "PartFailing"
+	partFailing.Failing = []Failing{
+		{Start: 8 * time.Second, Duration: 6 * time.Second, EveryNth: 12, Share: 1, After: 60 * time.Millisecond},
+		{Start: 20 * time.Second, Duration: 7 * time.Second, EveryNth: 7, Share: 0.45, After: 300 * time.Millisecond},
+	}
+	uneven := overload
+	uneven.Name, uneven.SpeedSpread = "Uneven", 0.25
 	today := overload
 	today.Name, today.Racks, today.WorkersPerRack = "Today", 4, 3
 	today.WorkerCapacity.Memory = 131072
@@ -148,7 +170,7 @@
 		c.Tasks = []float64{1.5, 3.4, 9.2}[i]
 		c.RunTime = []time.Duration{11 * time.Second, 2500 * time.Millisecond, 7600 * time.Millisecond}[i]
 	}
-	return []Scenario{overload, floodOfSmall, standingStill, today}
+	return []Scenario{overload, floodOfSmall, standingStill, today, partFailing, uneven}
 }
 
 // arrival is a workload together with its arrival time and true behavior, which the planner does not see.
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	planInterval = 120 * time.Millisecond
 	// wasteCost is the cost of a wasted core-second to the users, in the unit of Class.Value.
 	wasteCost = 0.0026
+	// failuresStream and speedsStream are the streams of random numbers for these; the classes use those from 0 on.
+	failuresStream = 1 << 32
+	speedsStream   = failuresStream + 1
 	// cooldownTime is how long the simulation goes on after the period of arrivals, so that waiting work can complete.
 	cooldownTime = 30 * time.Second
 )
@@ -75,6 +79,8 @@
 	wastedCoreSeconds float64
 	usedCoreSeconds   float64
 	stopOrderCount    int
+	// failures draws the attempts that fail on a failing worker.
+	failures *rand.Rand
 }
 
 // node is a simulated worker with its agent, which the planner addresses by the node's name.
@@ -89,6 +95,8 @@
 	// reportDue is true when an attempt has ended since the last report, and before the first report.
 	reportDue    bool
 	lastReportAt time.Duration
+	// speed is the worker's own speed.
+	speed float64
 }
 
 // attempt is one attempt of a task that runs on a node.
@@ -103,16 +111,19 @@
 	resumedFrom time.Duration
 	// stopAt is when an ordered stop takes effect, or 0 when none was ordered.
 	stopAt time.Duration
+	// failAt is when the attempt fails since its worker is failing, or 0 if it does not.
+	failAt time.Duration
 }
 
 func newSimulation(s Scenario, seed uint64) *simulation {
 	sm := &simulation{
 		scenario: s, startTime: time.Unix(1_000_000, 0), arrivalByJob: map[descriptor.JobID]*arrival{}, completedAt: map[descriptor.JobID]time.Duration{},
-		nodeByName: map[string]*node{},
+		nodeByName: map[string]*node{}, failures: rand.New(rand.NewPCG(seed, failuresStream)),
 		core: planner.New(planner.Limits{
 			DistanceFactor: s.DistanceFactor, CheckpointInterval: s.CheckpointInterval, RestoreTime: s.RestoreTime, StopGrace: s.StopGrace, ReclaimTime: s.ReclaimTime,
 		}),
 	}
+	speeds := rand.New(rand.NewPCG(seed, speedsStream))
 	var accounts []descriptor.Account
 	for i, g := range s.Guaranteed {
 		accounts = append(accounts, descriptor.Account{Workspace: descriptor.WorkspaceID(fmt.Sprint(i)), Guaranteed: g})
@@ -121,6 +132,7 @@
 	for i := range s.Racks * s.WorkersPerRack {
 		rack := descriptor.RackID(fmt.Sprintf("r%02d", i/s.WorkersPerRack))
 		n := &node{name: fmt.Sprintf("n%03d", i), index: i, attempts: map[descriptor.AttemptID]*attempt{}, reportDue: true}
+		n.speed = lognormal(speeds, 1, s.SpeedSpread)
 		n.status = descriptor.WorkerStatus{
 			Incarnation: descriptor.Incarnation{Worker: descriptor.WorkerID(n.name), Born: 1}, Service: "s", Rack: rack, Capacity: s.WorkerCapacity,
 		}
@@ -173,6 +185,11 @@
 				a.resumedFrom, a.progress = d, d-sm.scenario.RestoreTime
 			}
 		}
+		for _, f := range sm.scenario.Failing {
+			if sm.now >= f.Start && sm.now < f.Start+f.Duration && n.index%f.EveryNth == 0 && sm.failures.Float64() < f.Share {
+				a.failAt = sm.now + f.After
+			}
+		}
 		n.attempts[o.Attempt] = a
 		n.clock = max(n.clock+1, descriptor.WorkerClock(sm.now.Milliseconds()))
 		sm.core.HandleStarted(o.Node, o.Incarnation, o.Attempt, n.clock, sm.virtualTime())
@@ -190,6 +207,10 @@
 				sm.endAttempt(a, descriptor.OutcomeStopped)
 				continue
 			}
+			if a.failAt > 0 && sm.now >= a.failAt {
+				sm.endAttempt(a, descriptor.OutcomeFailed)
+				continue
+			}
 			speed := sm.gangSpeed(a, gangs) * sm.workerSpeed(n)
 			a.progress += time.Duration(speed * float64(tick))
 			runTime := a.arrival.runTimes[id.Task.Index]
@@ -245,7 +266,7 @@
 
 // workerSpeed returns the speed of a node's worker relative to full speed, which the slowdowns of the scenario reduce.
 func (sm *simulation) workerSpeed(n *node) float64 {
-	speed := 1.0
+	speed := n.speed
 	for _, s := range sm.scenario.Slowdowns {
 		if sm.now >= s.Start && sm.now < s.Start+s.Duration && n.index%s.EveryNth == 0 {
 			speed *= s.Speed
