planner: the health of workers in place of single marks

Change: the planner asks internal/assessor; a failed task does not return to a worker on which it has failed, and avoided workers get nothing, while other workers could hold the work and the service is busy; a worker on probation gets one attempt at a time that has not proven itself. Failures bar a worker for the task, no longer for the whole step.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -1,7 +1,7 @@
 // Package assessor judges the health of workers by what happens on them: failed, stalled and slow attempts, refused
 // starts, restarts, and gaps between reports.
 //
-// Each observation adds blame to a worker. Blame decays, and a success halves it. Failures weigh less the more the same
+// Each observation adds blame to a worker. Blame decays, and each success takes a share of it. Failures weigh less the more the same
 // workload fails on other workers, and the more of the other workers are failing. The package performs no I/O and
 // keeps no clock; callers pass the time, which must not decrease.
 package assessor
@@ -15,8 +15,17 @@
 	// halfLife is the time in which blame halves.
 	halfLife = 5 * time.Second
 	// probationBlame and avoidedBlame are the blames from which a worker leaves the states Sound and Probation.
-	probationBlame = 0.5
-	avoidedBlame   = 1.4
+	probationBlame = 1.25
+	avoidedBlame   = 2
+	// failureBlame is the blame for the first failed attempt of a workload. One alone may always be the task's fault, and
+	// leaves a worker sound.
+	failureBlame = 1.2
+	// slightBlame is the blame for faults that lead to probation.
+	slightBlame = 1.9
+	// slowBlame leads to probation for as long as a worker may be taken for slow without a success.
+	slowBlame = 2.5
+	// clearedShare is the share of the blame that an attempt takes away that works or succeeds.
+	clearedShare = 0.3
 	// minAvoidance is how long a worker is avoided at first. Each following period is twice as long, up to maxAvoidance,
 	// until the worker is sound again.
 	minAvoidance = 6 * time.Second
@@ -26,11 +35,11 @@
 	maxAvoidedShare = 1.0 / 3
 	// restartBlame is the blame for a restart, and flapBlame that for a restart of an incarnation that has lived for
 	// less than flapTime.
-	restartBlame = 0.25
-	flapBlame    = 1.4
+	restartBlame = 0.5
+	flapBlame    = 2
 	flapTime     = 10 * time.Second
 	// silenceBlame is the blame for a gap between two reports.
-	silenceBlame = 0.3
+	silenceBlame = 0.5
 	// countInterval is how often failing workers are counted.
 	countInterval = 200 * time.Millisecond
 	// maxFailures bounds the failures that are kept of a worker, maxJobs the workloads of which failures are compared,
@@ -70,18 +79,19 @@
 const (
 	// Stalled means that an attempt made no progress.
 	Stalled Fault = iota
-	// Slow means that an attempt was much slower than on other workers.
+	// Slow means that an attempt was much slower than on other workers. It leads to Probation only, since the task may be
+	// the cause.
 	Slow
 	// Unconfirmed means that a start showed no effect.
 	Unconfirmed
-	// Refused means that the worker refused a start and would refuse it again.
+	// Refused means that the worker refused a start and would refuse it again. It leads to Probation only.
 	Refused
 	// Silent means that the reports on the worker paused for too long.
 	Silent
 )
 
 // faultBlame holds the blame for each fault.
-var faultBlame = [...]float64{Stalled: avoidedBlame, Slow: 1, Unconfirmed: 1, Refused: 1, Silent: silenceBlame}
+var faultBlame = [...]float64{Stalled: avoidedBlame, Slow: slowBlame, Unconfirmed: slightBlame, Refused: slightBlame, Silent: silenceBlame}
 
 // faultReason describes each fault.
 var faultReason = [...]string{
@@ -94,6 +104,7 @@
 	reasonRestarts = "restarts in quick succession"
 	reasonDecay    = "time without faults"
 	reasonSuccess  = "attempt succeeded"
+	reasonWork     = "attempt works"
 	reasonAvoided  = "avoidance ended"
 	// reasonAcquitted means that the workloads whose attempts failed on a worker fail elsewhere as well.
 	reasonAcquitted = "workloads fail elsewhere"
@@ -156,6 +167,8 @@
 	// lastFaultAt is when the last failure or fault of an attempt was seen. Attempts that began earlier say nothing for
 	// the worker.
 	lastFaultAt time.Time
+	// slow is true from a slow attempt to the next success. Until then, an attempt that works clears nothing.
+	slow bool
 	// restartedAt is when the current incarnation was seen to follow another one.
 	restartedAt time.Time
 	state       State
@@ -228,35 +241,54 @@
 	a.update(id, w, now, reasonFailures)
 }
 
-// Ran notes that an attempt of a workload works on a worker, before it has ended.
-func (a *Assessor) Ran(id WorkerID, j JobID, now time.Time) {
-	if r := a.knownJob(j, now); !r.failedOn[id] && len(r.ranOn) < maxJobWorkers {
-		r.ranOn[id] = true
+// Ran notes that an attempt of a workload, which began at the time given, works on a worker, before it has ended.
+func (a *Assessor) Ran(id WorkerID, j JobID, began, now time.Time) {
+	a.noteRun(id, j, now)
+	if w := a.known(id, now); !w.slow && !began.Before(w.lastFaultAt) {
+		a.clear(id, w, now, reasonWork)
 	}
 }
 
 // Succeeded notes that an attempt of a workload, which began at the time given, succeeded on a worker.
 func (a *Assessor) Succeeded(id WorkerID, j JobID, began, now time.Time) {
+	a.noteRun(id, j, now)
 	w := a.known(id, now)
 	w.succeeded.add(1, now)
-	a.Ran(id, j, now)
-	if began.Before(w.lastFaultAt) {
-		return
+	if !began.Before(w.lastFaultAt) {
+		w.slow = false
+		a.clear(id, w, now, reasonSuccess)
+	}
+}
+
+// noteRun adds a worker to those on which a workload ran, unless it has failed there.
+func (a *Assessor) noteRun(id WorkerID, j JobID, now time.Time) {
+	if r := a.knownJob(j, now); !r.failedOn[id] && len(r.ranOn) < maxJobWorkers {
+		r.ranOn[id] = true
 	}
+}
+
+// clear takes clearedShare of the blame from a worker.
+func (a *Assessor) clear(id WorkerID, w *worker, now time.Time, reason string) {
 	for i := range w.failures {
-		w.failures[i].weight /= 2
+		w.failures[i].weight *= 1 - clearedShare
 	}
-	w.faults = decaying{w.faults.value(now) / 2, now}
+	w.faults = decaying{w.faults.value(now) * (1 - clearedShare), now}
 	if w.state == Probation {
 		w.avoidance = 0
 	}
-	a.update(id, w, now, reasonSuccess)
+	a.update(id, w, now, reason)
 }
 
 // Note notes a fault of a worker.
 func (a *Assessor) Note(id WorkerID, f Fault, now time.Time) {
 	w := a.known(id, now)
-	w.faults.add(faultBlame[f], now)
+	blame := faultBlame[f]
+	if f == Refused || f == Slow {
+		// Several of them in a row have one cause.
+		blame = max(0, blame-w.faults.value(now))
+	}
+	w.faults.add(blame, now)
+	w.slow = w.slow || f == Slow
 	if f != Silent {
 		w.lastFaultAt = now
 	}
@@ -342,7 +374,7 @@
 	case w.state == Avoided && now.Before(w.avoidedUntil):
 	case w.state == Avoided:
 		next, reason = Probation, reasonAvoided
-	case blame >= avoidedBlame && reason != "" && reason != reasonSuccess, w.avoidance > 0 && reason == reasonFailures && blame >= probationBlame:
+	case blame >= avoidedBlame && leadsToAvoidance(reason), w.avoidance > 0 && reason == reasonFailures && blame >= probationBlame:
 		next = Avoided
 	case blame >= probationBlame:
 		next = Probation
@@ -357,6 +389,16 @@
 	a.setState(id, w, next, now, reason)
 }
 
+// leadsToAvoidance reports whether a worker may be avoided from an observation on. Slow attempts and refusals may have
+// other causes than the worker.
+func leadsToAvoidance(reason string) bool {
+	switch reason {
+	case reasonFailures, reasonRestarts, faultReason[Stalled], faultReason[Unconfirmed], faultReason[Silent]:
+		return true
+	}
+	return false
+}
+
 // mayAvoidMore reports whether one more worker may be avoided.
 func (a *Assessor) mayAvoidMore(now time.Time) bool {
 	avoided := 0
@@ -397,7 +439,7 @@
 	}
 	sum := 0.0
 	for i, f := range w.failures {
-		weight := f.weight * decay(now.Sub(f.at))
+		weight := failureBlame * f.weight * decay(now.Sub(f.at))
 		for _, g := range w.failures[:i] {
 			if g.job == f.job {
 				weight /= 2
--- a/internal/assessor/assessor_test.go
+++ b/internal/assessor/assessor_test.go
@@ -103,7 +103,7 @@
 		a, now := fleet(54)
 		for i := range 10 * test.failing {
 			now = now.Add(2 * time.Millisecond)
-			a.Ran(workerID(9+i%45), JobID(fmt.Sprint("j", i%4)), now)
+			a.Ran(workerID(9+i%45), JobID(fmt.Sprint("j", i%4)), now, now)
 			if id := workerID(i % test.failing); a.State(id, now) != Avoided {
 				a.Failed(id, JobID(fmt.Sprint("j", i%4)), now)
 			}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -13,6 +13,7 @@
 
 	"persimmontrail/internal/agent"
 	"persimmontrail/internal/archiver"
+	"persimmontrail/internal/assessor"
 	"persimmontrail/internal/planner"
 	"persimmontrail/pkg/descriptor"
 )
@@ -82,6 +83,9 @@
 		t.discarded[cause] += coreSeconds
 		ld.Metrics.Add("discarded_core_seconds_total", coreSeconds, "cause", cause)
 	}
+	t.core.HealthChanged = func(change assessor.Change) {
+		ld.Metrics.Increment("worker_health_changes_total", "to", change.To.String(), "reason", change.Reason)
+	}
 	t.core.LogEvent = func(message string, job descriptor.JobID, details ...any) {
 		ld.Log.Info(message, append([]any{"job", job, "fence", fence}, details...)...)
 	}
--- a/internal/planner/candidates.go
+++ b/internal/planner/candidates.go
@@ -3,11 +3,12 @@
 import (
 	"slices"
 
+	"persimmontrail/internal/assessor"
 	"persimmontrail/pkg/descriptor"
 )
 
-// candidateKey holds the properties of a group that determine its candidates. Failures of its step on single workers
-// are not among them; eligible takes these into account.
+// candidateKey holds the properties of a group that determine its candidates. Failures of its tasks on single workers
+// are not among them; withoutFailed takes these into account.
 type candidateKey struct {
 	service descriptor.ServiceID
 	label   string
@@ -18,9 +19,10 @@
 // candidates are the workers that may run the groups with one candidateKey.
 type candidates struct {
 	healthy []*worker
-	// suspect workers, including quarantined ones, are used only for groups whose workload has waited for longer than
-	// suspectWait.
-	suspect []*worker
+	// probation and avoided workers are used only for groups whose workload has waited for longer than suspectWait; the
+	// latter only as long as mayReturn allows it.
+	probation []*worker
+	avoided   []*worker
 	// unplaceableSizes are task sizes for which no healthy worker has room left in this pass.
 	unplaceableSizes []descriptor.Capacity
 }
@@ -37,8 +39,10 @@
 		switch {
 		case w.status.Service != k.service || step.Label != "" && !slices.Contains(w.status.Labels, step.Label):
 		case k.unreservedOnly && p.reservedWorkers[w]:
-		case p.now.Before(w.quarantinedUntil) || p.now.Before(w.suspectUntil):
-			c.suspect = append(c.suspect, w)
+		case p.health[w] == assessor.Probation:
+			c.probation = append(c.probation, w)
+		case p.health[w] == assessor.Avoided:
+			c.avoided = append(c.avoided, w)
 		default:
 			c.healthy = append(c.healthy, w)
 		}
@@ -47,25 +51,31 @@
 	return c
 }
 
-// eligible returns the workers that may run the group. Suspect workers and those on which the step has failed are
-// included only when the workload has waited for longer than suspectWait.
+// eligible returns the workers that may run the group. Workers on probation are included only when the workload has
+// waited for longer than suspectWait, avoided workers and those on which a gang has failed only if it may return to them.
+// Guaranteed work must begin soon, so it may use avoided workers as well. Healthy workers come first, because searches
+// prefer the earlier of equal workers.
 func (p *pass) eligible(g group) []*worker {
 	c := p.candidates(g)
-	healthy, fallback := c.healthy, c.suspect
-	if len(g.job.failuresByWorker) > 0 {
-		failed := func(w *worker) bool { return g.job.failuresByWorker[stepWorker{g.step, w.incarnation.Worker}] > 0 }
-		healthy = slices.DeleteFunc(slices.Clone(c.healthy), failed)
-		fallback = slices.Concat(fallback, slices.DeleteFunc(slices.Clone(c.healthy), func(w *worker) bool { return !failed(w) }))
+	workers := c.healthy
+	if len(c.probation)+len(c.avoided) > 0 {
+		if p.now.Sub(g.job.waitingSince) > suspectWait {
+			workers = slices.Concat(c.healthy, c.probation)
+		} else {
+			p.core.planBy(g.job.waitingSince.Add(suspectWait))
+		}
+	}
+	n := 1
+	if g.job.step(g.step).Gang {
+		n = len(g.indexes)
 	}
-	if len(fallback) == 0 {
-		return healthy
+	if len(c.avoided) > 0 && p.now.Sub(g.job.waitingSince) > suspectWait && (g.level == levelGuaranteed || p.mayReturn(g, workers, n)) {
+		workers = slices.Concat(workers, c.avoided)
 	}
-	if p.now.Sub(g.job.waitingSince) > suspectWait {
-		// Healthy workers come first, because searches prefer the earlier of equal workers.
-		return slices.Concat(healthy, fallback)
+	if g.job.step(g.step).Gang {
+		workers = p.withoutFailed(g, 0, workers)
 	}
-	p.core.planBy(g.job.waitingSince.Add(suspectWait))
-	return healthy
+	return workers
 }
 
 // knownUnplaceable reports whether a task of the same or a smaller size found no room earlier in this pass.
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -53,7 +53,7 @@
 	indexes := g.indexes
 	var orders []Order
 	for len(indexes) > 0 {
-		w := p.bestFit(g, step, pool, need)
+		w := p.bestFit(g, step, p.withoutFailed(g, indexes[0], pool), need)
 		if w == nil {
 			break
 		}
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -7,12 +7,13 @@
 	"slices"
 	"time"
 
+	"persimmontrail/internal/assessor"
 	"persimmontrail/pkg/descriptor"
 )
 
 const (
-	// suspectWait is how long a workload waits before its tasks also use suspect workers and workers on which their
-	// step has failed. It is well below 3 s, the longest time that a task may wait while there is room for it.
+	// suspectWait is how long a workload waits before its tasks also use workers that are not sound, and workers on which
+	// they have failed. It is well below 3 s, the longest time that a task may wait while there is room for it.
 	suspectWait = 800 * time.Millisecond
 	// defaultRackWait is how long a task waits for room on the rack of its data before it starts on another rack. A
 	// SameRack gang for which rackWait sets no other time waits as long for room on one rack before it is spread over
@@ -31,6 +32,10 @@
 	releasing map[*worker]descriptor.Capacity
 	// fleet holds the usable workers, sorted by node name.
 	fleet []*worker
+	// health holds the health of each worker of the fleet.
+	health map[*worker]assessor.State
+	// busyServices caches serviceBusy.
+	busyServices map[descriptor.ServiceID]bool
 	// withinGuarantee is the set of workloads inside their workspace's guarantee.
 	withinGuarantee map[descriptor.JobID]bool
 	// candidateCache caches the candidates of the groups in this pass.
@@ -54,6 +59,7 @@
 // newPass returns a pass over the workers that are usable now.
 func (c *Core) newPass(now time.Time) *pass {
 	p := &pass{core: c, now: now, room: map[*worker]descriptor.Capacity{}, releasing: map[*worker]descriptor.Capacity{}}
+	p.health, p.busyServices = map[*worker]assessor.State{}, map[descriptor.ServiceID]bool{}
 	attempts := 0
 	for _, w := range c.sortedWorkers() {
 		if c.usable(w, now) {
@@ -61,6 +67,7 @@
 			p.fleet = append(p.fleet, w)
 			p.room[w] = w.free()
 			p.releasing[w] = w.stoppingCapacity()
+			p.assessHealth(w)
 			if p.startsPaused(w) {
 				p.withholdRoom(w)
 			}
@@ -118,15 +125,16 @@
 	c := p.candidates(g)
 	// unplaceableSizes applies only to groups that can use all healthy workers and no others, and may not preempt.
 	unconstrained := step.MaxPerWorker == 0 && step.DataRack == "" && len(eligible) == len(c.healthy) &&
-		len(g.job.failuresByWorker) == 0 && g.level >= levelOther
+		len(g.job.failedOn) == 0 && g.level >= levelOther
 	if unconstrained && c.knownUnplaceable(need) {
 		return nil
 	}
 	var orders []Order
 	for _, i := range g.indexes {
 		var w *worker
+		pool := p.withoutFailed(g, i, eligible)
 		if !p.noRoom[d] {
-			w = p.bestWorker(g, step, eligible, need)
+			w = p.bestWorker(g, step, pool, need)
 		}
 		if w == nil && unconstrained {
 			c.unplaceableSizes = append(c.unplaceableSizes, need)
@@ -134,11 +142,15 @@
 		}
 		if w == nil {
 			// Workers at the limit of one step may have room for another one.
-			p.noRoom[d] = step.MaxPerWorker == 0
+			restricted := len(pool) < len(eligible)
+			p.noRoom[d] = p.noRoom[d] || step.MaxPerWorker == 0 && !restricted
 			if !p.maySearch(g, d) {
+				if restricted {
+					continue
+				}
 				break
 			}
-			if w = p.earmarkOrPreempt(g, step, eligible, need, &orders); w == nil {
+			if w = p.earmarkOrPreempt(g, step, pool, need, &orders); w == nil && !restricted {
 				p.noteVainSearch(g, d)
 				break
 			}
@@ -166,7 +178,8 @@
 	return p.bestFit(g, step, eligible, need)
 }
 
-// bestFit returns the worker with the least room left over after one more task; nil when the task fits on none.
+// bestFit returns the worker with the least room left over after one more task, of those in the best health; nil when the
+// task fits on none.
 func (p *pass) bestFit(g group, step *descriptor.Step, pool []*worker, need descriptor.Capacity) *worker {
 	var best *worker
 	var bestLeft float64
@@ -175,7 +188,7 @@
 			continue
 		}
 		left := freeFractionSum(p.room[w].Minus(need), w.status.Capacity)
-		if best == nil || left < bestLeft {
+		if best == nil || cmp.Or(cmp.Compare(p.health[w], p.health[best]), cmp.Compare(left, bestLeft)) < 0 {
 			best, bestLeft = w, left
 		}
 	}
@@ -394,18 +407,23 @@
 	return best
 }
 
-// fill packs n tasks into a pool and returns nil when they do not fit. With countReleasing it also uses capacity that
-// is being released.
+// fill packs n tasks into a pool, if possible into its sound workers, and returns nil when they do not fit. With
+// countReleasing it also uses capacity that is being released.
 func (p *pass) fill(g group, step *descriptor.Step, pool []*worker, need descriptor.Capacity, n int, countReleasing bool) placement {
 	room := func(w *worker) descriptor.Capacity {
 		if countReleasing {
-			return p.room[w].Plus(p.releasing[w])
+			return p.trialRoom(w, p.room[w].Plus(p.releasing[w]), need)
 		}
-		return p.room[w]
+		return p.trialRoom(w, p.room[w], need)
 	}
 	if !countReleasing && slices.ContainsFunc(pool, p.startsPaused) {
 		pool = slices.DeleteFunc(slices.Clone(pool), p.startsPaused)
 	}
+	if sound, partly := p.sound(pool); partly {
+		if ws := pack(sound, room, need, n, perWorkerLimit(step)); ws != nil {
+			return ws
+		}
+	}
 	return pack(pool, room, need, n, perWorkerLimit(step))
 }
 
@@ -473,6 +491,9 @@
 		r := c.addAttempt(j, id, t, w, p.now)
 		r.startDeadline = noStartDeadline
 		p.room[w] = p.room[w].Minus(r.need)
+		if p.health[w] == assessor.Probation {
+			p.room[w] = descriptor.Capacity{}
+		}
 		if counts := p.stepCounts[w]; counts != nil {
 			counts[jobStep{j.id(), g.occurrence, g.step}]++
 		}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"persimmontrail/internal/assessor"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -137,8 +138,8 @@
 }
 
 // stopStalledAndSlow repeats unconfirmed stops, and stops attempts that make no progress or run much slower than
-// expected. Workers of stalled attempts are quarantined; those of slow ones become suspect. Workers whose last report
-// is older than maxReportAge are left out.
+// expected, which counts against the health of their workers. Workers whose last report is older than maxReportAge are
+// left out.
 func (c *Core) stopStalledAndSlow(now time.Time) []Order {
 	var orders []Order
 	for _, w := range c.sortedWorkers() {
@@ -152,16 +153,16 @@
 				orders = append(orders, c.orderStop(r, now, r.stopCause, "stop not confirmed; repeated")...)
 			case !r.stopping && !r.confirmed && r.startDeadline == noStartDeadline && now.Sub(r.placed) > maxStartConfirmation:
 				orders = append(orders, c.orderStop(r, now, causeWorkerLost, "start not confirmed, and not ruled out")...)
-				w.suspectUntil = now.Add(suspectPeriod)
+				c.health.Note(w.healthID(), assessor.Unconfirmed, now)
 			case c.stalled(r):
 				orders = append(orders, c.orderStop(r, now, causeStalled, fmt.Sprintf("no progress for %v at %d percent",
 					r.timeWithoutProgress().Round(time.Millisecond), r.percent))...)
-				c.quarantineWorker(w, now, "task makes no progress")
+				c.health.Note(w.healthID(), assessor.Stalled, now)
 			case c.tooSlow(r):
 				orders = append(orders, c.orderStop(r, now, causeSlow, fmt.Sprintf("slow: %d percent after %v, expected run time %v",
 					r.percent, now.Sub(r.started).Round(time.Millisecond),
 					c.expectedRunTime(r.job, r.id.Task.Step).Round(time.Millisecond)))...)
-				w.suspectUntil = now.Add(suspectPeriod)
+				c.health.Note(w.healthID(), assessor.Slow, now)
 			}
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -13,8 +13,8 @@
 // workspace's urgent work must start within ReclaimTime. To preempt is to stop less urgent attempts, the victims, to
 // make room; a unit is a set of attempts that are stopped together. A plan is the choice, in one call of Plan, of the
 // attempts to stop and to start. Earmarked room is withheld from the groups of tasks that the same plan places later; a
-// claim keeps preempted room for a group over several plans. Reserved workers are kept free for urgent work. Work
-// avoids suspect workers, on which attempts have failed or were slow; a quarantine is a longer period as a suspect.
+// claim keeps preempted room for a group over several plans. Reserved workers are kept free for urgent work. Package
+// assessor judges the health of workers.
 //
 // Core takes reports from agents and submissions from callers, and returns orders. It performs no I/O, starts no
 // goroutines and is not safe for concurrent use; equal inputs give equal orders. The caller must write the changed
@@ -28,6 +28,7 @@
 	"slices"
 	"time"
 
+	"persimmontrail/internal/assessor"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -65,12 +66,14 @@
 // Core holds the state of the planner. Create it with New.
 type Core struct {
 	Limits Limits
-	// LogEvent is called, for logging, when an attempt ends or is removed, a workload becomes final or a worker is
-	// quarantined; it may be nil.
+	// LogEvent is called, for logging, when an attempt ends or is removed, a workload becomes final or the health of a
+	// worker changes; it may be nil.
 	LogEvent func(message string, job descriptor.JobID, details ...any)
 	// Discarded is called with the core-seconds of unsaved work that an attempt loses as it ends, and the cause; it may be
 	// nil.
 	Discarded func(cause string, coreSeconds float64)
+	// HealthChanged is called when the state of a worker's health changes; it may be nil.
+	HealthChanged func(assessor.Change)
 
 	jobs map[descriptor.JobID]*job
 	// activeJobs holds the workloads that were not finished at the last plan or were added since, sorted by id.
@@ -87,6 +90,8 @@
 	runTimes map[descriptor.QueueID]*runTimeStats
 	// workMeans holds the mean work in core-seconds of the workloads of each queue.
 	workMeans map[descriptor.QueueID]*meanWork
+	// health judges the workers by what happens on them.
+	health assessor.Assessor
 	// reserve tracks how many accelerators to keep free for urgent work.
 	reserve reserve
 	// nextPlanAt is the earliest time at which a plan may differ without a new event; zero means never.
@@ -106,8 +111,8 @@
 	arrived time.Time
 	// activeAttempts holds the current attempt of each placed task.
 	activeAttempts map[descriptor.TaskID]*attempt
-	// failuresByWorker counts the failed attempts by step and worker.
-	failuresByWorker map[stepWorker]int
+	// failedOn holds the workers on which tasks have failed; see failureKey.
+	failedOn map[descriptor.TaskID][]descriptor.WorkerID
 	// sampledSteps is the set of steps for which the run time statistics already have a sample.
 	sampledSteps map[int]bool
 	// stepRunTimes holds, by step, the run times projected from the progress of its tasks.
@@ -139,12 +144,6 @@
 	occurrence, step int
 }
 
-// stepWorker identifies the attempts of a step on a worker.
-type stepWorker struct {
-	step   int
-	worker descriptor.WorkerID
-}
-
 // attempt is one numbered start of a task on a worker, kept in memory while it may occupy the worker.
 type attempt struct {
 	id descriptor.AttemptID
@@ -184,6 +183,8 @@
 	checkpointAt time.Time
 	// checkpoint is the newest checkpoint that is known; empty when there is none.
 	checkpoint string
+	// proven is true once the attempt has worked for provingTime.
+	proven bool
 }
 
 // noStartDeadline is a startDeadline that no worker clock reaches: the start may take effect at any time.
@@ -191,12 +192,14 @@
 
 // New returns a Core without workers or workloads.
 func New(limits Limits) *Core {
-	return &Core{
+	c := &Core{
 		Limits: limits,
 		jobs:   map[descriptor.JobID]*job{}, workers: map[string]*worker{}, excludedDomains: map[descriptor.FailureDomainID]bool{},
 		guarantees: map[descriptor.WorkspaceID]descriptor.Accelerators{}, dirty: map[descriptor.JobID]bool{},
 		runTimes: map[descriptor.QueueID]*runTimeStats{}, workMeans: map[descriptor.QueueID]*meanWork{},
 	}
+	c.health.Changed = c.handleHealthChange
+	return c
 }
 
 func (c *Core) logEvent(message string, id descriptor.JobID, details ...any) {
@@ -267,7 +270,6 @@
 func (c *Core) newJob(r Record, p Progress, now time.Time) *job {
 	j := &job{
 		record: r, progress: p, arrived: now, activeAttempts: map[descriptor.TaskID]*attempt{},
-		failuresByWorker: map[stepWorker]int{},
 	}
 	if age := now.Sub(r.Workload.Accepted); age > 0 && age < time.Hour {
 		j.arrived = now.Add(-age)
@@ -462,6 +464,9 @@
 		j.progress.State = state
 		c.dirty[j.id()] = true
 	}
+	if state.Final() {
+		c.health.Forget(assessor.JobID(j.id()))
+	}
 }
 
 // criticalPath returns the largest sum of expected run times over a chain of dependent steps.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"testing"
@@ -400,6 +401,36 @@
 	}
 }
 
+// TestWorkerFailingAllOnFullFleet names the load of a worker that fails each start at once while its health is good, on a
+// full fleet where it alone has room. Waiting workloads must not use up their attempts there (three workloads of 139 on
+// a test day failed so).
+func TestWorkerFailingAllOnFullFleet(t *testing.T) {
+	f := newFixture(t, 3)
+	f.submit("full", 9, 8, time.Minute, priority(1))
+	f.planAndApply()
+	bad, attemptID := f.attemptOf("full", 0)
+	f.submit("wide", 40, 1, 2*time.Second, priority(2))
+	f.submit("other", 40, 1, 2*time.Second, priority(2))
+	f.advance(2 * time.Second)
+	f.endAttempt(bad, attemptID, descriptor.OutcomeDone)
+	failed := 0
+	for range 50 {
+		f.advance(100 * time.Millisecond)
+		for id := range maps.Clone(f.running[bad]) {
+			f.endAttempt(bad, id, descriptor.OutcomeFailed)
+			failed++
+		}
+	}
+	assert.Assert(t, failed > 0 && failed <= 9, "%d attempts failed", failed)
+	for _, id := range []descriptor.JobID{"wide", "other"} {
+		j := f.core.jobs[id]
+		assert.Equal(t, j.progress.State.Final(), false)
+		for _, task := range j.tasks(0, 0) {
+			assert.Assert(t, task.FailedAttempts <= 1, "a task has failed twice on one worker")
+		}
+	}
+}
+
 // TestStalledTaskMoves guards against a task that stays on a worker on which it makes no progress. It must be stopped
 // within 5 s and restart on another worker.
 func TestStalledTaskMoves(t *testing.T) {
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -62,9 +62,14 @@
 		fleetTotal = fleetTotal.Plus(w.status.Capacity)
 		fleetFree = fleetFree.Plus(w.free())
 	}
+	return mostlyUsed(fleetTotal, fleetFree)
+}
+
+// mostlyUsed reports whether at least busyShare of some kind of capacity is in use.
+func mostlyUsed(total, free descriptor.Capacity) bool {
 	used := func(free, total float64) bool { return total > 0 && free <= (1-busyShare)*total }
-	return used(float64(fleetFree.Cores), float64(fleetTotal.Cores)) || used(float64(fleetFree.Memory), float64(fleetTotal.Memory)) ||
-		used(float64(fleetFree.Accelerators), float64(fleetTotal.Accelerators))
+	return used(float64(free.Cores), float64(total.Cores)) || used(float64(free.Memory), float64(total.Memory)) ||
+		used(float64(free.Accelerators), float64(total.Accelerators))
 }
 
 // mayUseReserved reports whether a group may start on reserved workers: urgent and service tasks always, other work
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"persimmontrail/internal/assessor"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -13,16 +14,8 @@
 	// maxReportAge is the age from which a worker's last report is too old to place new work on it. Agents report at
 	// least every 700 ms.
 	maxReportAge = 1500 * time.Millisecond
-	// suspectPeriod is how long a worker is suspect after a failure that counts against it, a slow task, a refused
-	// start or a quarantine. Tasks use suspect workers only after suspectWait. The period is short, since failures that
-	// come from the task and not the worker are rare.
-	suspectPeriod = 5 * time.Second
-	// minQuarantine is the length of a worker's first quarantine. Each following one is twice as long, up to
-	// maxQuarantine, until a task succeeds on the worker.
-	minQuarantine = 6 * time.Second
-	maxQuarantine = 24 * time.Second
-	// failureWindow is the period in which the failures of a worker are counted together.
-	failureWindow = 20 * time.Second
+	// provingTime is how long an attempt must work before it says something for its worker.
+	provingTime = time.Second
 	// minStall is the least time without progress, by the worker's clock, after which an attempt counts as stalled.
 	minStall = 600 * time.Millisecond
 	// stallPercent is the percentage of the run time after which an attempt without progress counts as stalled.
@@ -59,27 +52,14 @@
 	// attempts holds all attempts that may occupy the worker, including those being stopped.
 	attempts map[descriptor.AttemptID]*attempt
 
-	// failures are the failed attempts that count against the worker. Those older than failureWindow are dropped when
-	// the next one is added, and all of them when a task succeeds.
-	failures []failure
-	// suspectUntil is when the worker stops being suspect.
-	suspectUntil time.Time
-	// quarantinedUntil is when the quarantine of the worker ends.
+	// quarantinedUntil is the earliest end of the last period in which the worker was avoided.
 	quarantinedUntil time.Time
-	// quarantinePeriod is the length of the last quarantine; 0 after a success.
-	quarantinePeriod time.Duration
 	// startsPausedUntil is when the worker may get a start again after it has refused one.
 	startsPausedUntil time.Time
 	// refusalPause is the length of the last such pause; 0 after the worker has accepted a start.
 	refusalPause time.Duration
 }
 
-// failure is a failed attempt on a worker.
-type failure struct {
-	at  time.Time
-	job descriptor.JobID
-}
-
 // Observation is an agent's report of the worker on its node, made for the current leader.
 type Observation struct {
 	Node   string
@@ -114,6 +94,7 @@
 	if w.incarnation != o.Status.Incarnation {
 		orders = c.beginIncarnation(w, o)
 	}
+	c.noteSilence(w, o.Received)
 	if !w.statusKnown || o.Received.Sub(w.lastReportAt) >= maxReportAge || w.status.Draining != o.Status.Draining {
 		c.planNeeded = true
 	}
@@ -153,7 +134,10 @@
 // current leader, after which the worker refuses the order.
 func (c *Core) beginIncarnation(w *worker, o Observation) []Order {
 	attempts := w.sortedAttempts()
-	*w = worker{node: w.node, incarnation: o.Status.Incarnation, attempts: w.attempts}
+	if w.statusKnown && w.incarnation.Worker == o.Status.Incarnation.Worker {
+		c.health.Restarted(w.healthID(), o.Received)
+	}
+	*w = worker{node: w.node, incarnation: o.Status.Incarnation, attempts: w.attempts, quarantinedUntil: w.quarantinedUntil}
 	var orders []Order
 	for _, r := range attempts {
 		if r.job == nil || o.Status.Incarnation.Worker != r.incarnation.Worker {
@@ -230,6 +214,7 @@
 	if status.Checkpoint != "" && status.Checkpoint != r.checkpoint {
 		r.checkpoint, r.checkpointAt = status.Checkpoint, now
 	}
+	c.noteProven(r, now)
 	c.recordProjectedRunTime(r)
 }
 
@@ -348,7 +333,7 @@
 
 // HandleRefused processes the answer that a start was refused, by the worker or its agent. The attempt is removed unless
 // it was already confirmed; if it is, the worker gets no start for a while, whatever the reason. Refusals that the worker would
-// repeat make it suspect as well. Answers of other incarnations are ignored.
+// repeat count against its health as well. Answers of other incarnations are ignored.
 func (c *Core) HandleRefused(node string, incarnation descriptor.Incarnation, id descriptor.AttemptID, refusal descriptor.Refusal, now time.Time) {
 	w := c.workers[node]
 	if w == nil || w.incarnation != incarnation {
@@ -357,7 +342,7 @@
 	switch refusal {
 	case descriptor.RefusedBusy, descriptor.RefusedInvalid, descriptor.RefusedIncarnation, descriptor.RefusedStaleAttempt:
 		// What is known of the worker is out of date, and it would refuse the same order again.
-		w.suspectUntil = now.Add(suspectPeriod)
+		c.health.Note(w.healthID(), assessor.Refused, now)
 	}
 	r := w.attempts[id]
 	if r != nil && r.confirmed {
@@ -481,7 +466,7 @@
 		c.handleFailed(j, e, t, w, now)
 	case descriptor.OutcomeRefused:
 		// The reason is not known, so the worker may refuse the next start as well.
-		w.suspectUntil = now.Add(suspectPeriod)
+		c.health.Note(w.healthID(), assessor.Refused, now)
 		c.pauseStarts(w, now)
 	}
 }
@@ -536,12 +521,10 @@
 	return r.percent
 }
 
-// handleDone processes the success of an attempt. It clears the failures of the worker, which is no longer suspect
-// unless it is quarantined.
+// handleDone processes the success of an attempt.
 func (c *Core) handleDone(j *job, e descriptor.AttemptEnd, r *attempt, w *worker, now time.Time) {
-	w.failures, w.quarantinePeriod = nil, 0
-	if now.After(w.quarantinedUntil) {
-		w.suspectUntil = time.Time{}
+	if r != nil {
+		c.health.Succeeded(w.healthID(), assessor.JobID(j.id()), r.started, now)
 	}
 	if r != nil && r.confirmed && r.checkpoint == "" {
 		c.addRunTimeSample(j, e.Task.Step, now.Sub(r.started))
@@ -590,12 +573,12 @@
 // handleFailed processes a failed attempt; the workload fails with the task's MaxAttempts-th failure. A gang fails as a
 // whole, so its members share one count, and several that fail in one attempt count once.
 func (c *Core) handleFailed(j *job, e descriptor.AttemptEnd, t *Task, w *worker, now time.Time) {
-	j.failuresByWorker[stepWorker{e.Task.Step, w.incarnation.Worker}]++
+	j.noteFailure(e.Task, w.incarnation.Worker)
 	if j.failedSteps == nil {
 		j.failedSteps = map[int]bool{}
 	}
 	j.failedSteps[e.Task.Step] = true
-	c.recordFailure(w, j, now)
+	c.health.Failed(w.healthID(), assessor.JobID(j.id()), now)
 	if j.step(e.Task.Step).Gang {
 		gang := taskAttemptOf(e.AttemptID)
 		gang.Index = 0
@@ -618,43 +601,6 @@
 	}
 }
 
-// recordFailure counts a failure against a worker, and quarantines the worker when tasks of several workloads have
-// failed on it within failureWindow. A workload that has also failed on other workers does not count against a worker
-// that has no recorded failures and is not suspect.
-func (c *Core) recordFailure(w *worker, j *job, now time.Time) {
-	failuresElsewhere := 0
-	for k := range j.failuresByWorker {
-		if k.worker != w.incarnation.Worker {
-			failuresElsewhere++
-		}
-	}
-	if failuresElsewhere > 0 && !now.Before(w.suspectUntil) && len(w.failures) == 0 {
-		return
-	}
-	w.failures = slices.DeleteFunc(w.failures, func(f failure) bool { return now.Sub(f.at) > failureWindow })
-	w.failures = append(w.failures, failure{now, j.id()})
-	w.suspectUntil = now.Add(suspectPeriod)
-	distinct := map[descriptor.JobID]bool{}
-	for _, f := range w.failures {
-		distinct[f.job] = true
-	}
-	if len(distinct) >= 2 {
-		c.quarantineWorker(w, now, "failed tasks of several workloads")
-	}
-}
-
-// quarantineWorker makes a worker suspect for a quarantine and for suspectPeriod after it. A successful task ends the
-// latter but not the former. It has no effect on a worker that is already quarantined.
-func (c *Core) quarantineWorker(w *worker, now time.Time, reason string) {
-	if now.Before(w.quarantinedUntil) {
-		return
-	}
-	w.quarantinePeriod = min(max(2*w.quarantinePeriod, minQuarantine), maxQuarantine)
-	w.quarantinedUntil = now.Add(w.quarantinePeriod)
-	w.suspectUntil = w.quarantinedUntil.Add(suspectPeriod)
-	c.logEvent("worker quarantined", "", "node", w.node, "for", w.quarantinePeriod, "reason", reason)
-}
-
 // free returns the capacity of w that no attempt occupies; attempts being stopped still do.
 func (w *worker) free() descriptor.Capacity {
 	f := w.status.Capacity
