planner: faster workers first, and gangs on workers of like speed

Cause: a gang ends with its slowest member, and placement went by fit alone.

Change: each attempt compares its projected run time once with those of its step on other workers; workers whose speeds differ by more than the accuracy of that are told apart, and the faster ones are taken first. The seam is workerSpeed.

--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -34,6 +34,8 @@
 	fleet []*worker
 	// health holds the health of each worker of the fleet.
 	health map[*worker]assessor.State
+	// slownessOf caches slowness.
+	slownessOf map[*worker]int
 	// busyServices caches serviceBusy.
 	busyServices map[descriptor.ServiceID]bool
 	// withinGuarantee is the set of workloads inside their workspace's guarantee.
@@ -60,6 +62,7 @@
 func (c *Core) newPass(now time.Time) *pass {
 	p := &pass{core: c, now: now, room: map[*worker]descriptor.Capacity{}, releasing: map[*worker]descriptor.Capacity{}}
 	p.health, p.busyServices = map[*worker]assessor.State{}, map[descriptor.ServiceID]bool{}
+	p.slownessOf, c.plannedAt = map[*worker]int{}, now
 	attempts := 0
 	for _, w := range c.sortedWorkers() {
 		if c.usable(w, now) {
@@ -178,8 +181,8 @@
 	return p.bestFit(g, step, eligible, need)
 }
 
-// bestFit returns the worker with the least room left over after one more task, of those in the best health; nil when the
-// task fits on none.
+// bestFit returns the worker with the least room left over after one more task, of the fastest of those in the best health;
+// nil when the task fits on none.
 func (p *pass) bestFit(g group, step *descriptor.Step, pool []*worker, need descriptor.Capacity) *worker {
 	var best *worker
 	var bestLeft float64
@@ -188,7 +191,8 @@
 			continue
 		}
 		left := freeFractionSum(p.room[w].Minus(need), w.status.Capacity)
-		if best == nil || cmp.Or(cmp.Compare(p.health[w], p.health[best]), cmp.Compare(left, bestLeft)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(p.health[w], p.health[best]), cmp.Compare(p.slowness(w), p.slowness(best)),
+			cmp.Compare(left, bestLeft)) < 0 {
 			best, bestLeft = w, left
 		}
 	}
@@ -383,11 +387,12 @@
 	return step.Count
 }
 
-// bestPlacement returns a placement in the data's rack if possible, or else in the pool with the least room of those
-// that fit n tasks; nil when none does. With countReleasing it also uses capacity that is being released.
+// bestPlacement returns a placement in the data's rack if possible, or else the fastest one, and of equal ones that in the
+// pool with the least room; nil when none does. With countReleasing it also uses capacity that is being released.
 func (p *pass) bestPlacement(g group, step *descriptor.Step, pools [][]*worker, need descriptor.Capacity, n int, countReleasing bool) placement {
 	var best placement
 	var bestLeft float64
+	var bestSlowness int
 	for i, pool := range pools {
 		ws := p.fill(g, step, pool, need, n, countReleasing)
 		if ws == nil {
@@ -400,8 +405,9 @@
 		for _, w := range pool {
 			left += freeFractionSum(p.room[w], w.status.Capacity)
 		}
-		if best == nil || left < bestLeft {
-			best, bestLeft = ws, left
+		slowness := slices.Max(p.slownesses(ws))
+		if best == nil || cmp.Or(cmp.Compare(slowness, bestSlowness), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestSlowness = ws, left, slowness
 		}
 	}
 	return best
@@ -420,11 +426,26 @@
 		pool = slices.DeleteFunc(slices.Clone(pool), p.startsPaused)
 	}
 	if sound, partly := p.sound(pool); partly {
-		if ws := pack(sound, room, need, n, perWorkerLimit(step)); ws != nil {
+		if ws := p.packFastest(sound, room, need, n, perWorkerLimit(step)); ws != nil {
 			return ws
 		}
 	}
-	return pack(pool, room, need, n, perWorkerLimit(step))
+	return p.packFastest(pool, room, need, n, perWorkerLimit(step))
+}
+
+// packFastest is pack on the fastest workers of a pool that are enough, since a gang ends with its slowest member.
+func (p *pass) packFastest(pool []*worker, room func(*worker) descriptor.Capacity, need descriptor.Capacity, n, limit int) placement {
+	slownesses := p.slownesses(pool)
+	for i, most := range slownesses {
+		workers := pool
+		if i < len(slownesses)-1 {
+			workers = slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return p.slowness(w) > most })
+		}
+		if ws := pack(workers, room, need, n, limit); ws != nil {
+			return ws
+		}
+	}
+	return nil
 }
 
 // pack places n tasks on as few workers of a pool as possible, at most limit on each, or returns nil when they do not
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -90,6 +90,8 @@
 	runTimes map[descriptor.QueueID]*runTimeStats
 	// workMeans holds the mean work in core-seconds of the workloads of each queue.
 	workMeans map[descriptor.QueueID]*meanWork
+	// plannedAt is the time of the last plan.
+	plannedAt time.Time
 	// health judges the workers by what happens on them.
 	health assessor.Assessor
 	// reserve tracks how many accelerators to keep free for urgent work.
@@ -185,6 +187,8 @@
 	checkpoint string
 	// proven is true once the attempt has worked for provingTime.
 	proven bool
+	// speedNoted is true once the attempt is among the samples of its worker's speed.
+	speedNoted bool
 }
 
 // noStartDeadline is a startDeadline that no worker clock reaches: the start may take effect at any time.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -663,6 +663,43 @@
 	assert.Assert(t, !slices.Contains(nodes, slow), "%v, slow is %s", nodes, slow)
 }
 
+// TestGangsAndWideStepsTakeFastWorkers names the load of a fleet on which the workers of one rack take half as long again
+// as the others, too little to be taken for slow. A gang must not wait for one of them, and the tasks of a wide step go
+// to the faster workers first.
+func TestGangsAndWideStepsTakeFastWorkers(t *testing.T) {
+	f := newFixture(t, 3)
+	f.submit("wide", 9, 8, 10*time.Second, priority(1))
+	f.planAndApply()
+	for range 60 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.clock += 100
+		for node, attempts := range f.running {
+			for id, s := range attempts {
+				s.Percent++
+				if f.status[node].Rack == "r1" && f.clock/100%3 == 0 {
+					s.Percent--
+				}
+				f.running[node][id] = s
+			}
+		}
+		f.reportAll()
+	}
+	for _, node := range f.runningNodes("wide") {
+		for id := range f.running[node] {
+			f.endAttempt(node, id, descriptor.OutcomeDone)
+		}
+	}
+	f.reportAll()
+	f.submit("gang", 3, 8, 10*time.Second, sameRack)
+	f.submit("next", 24, 1, 10*time.Second, priority(1))
+	f.planAndApply()
+	for _, id := range []descriptor.JobID{"gang", "next"} {
+		for _, node := range f.runningNodes(id) {
+			assert.Assert(t, f.status[node].Rack != "r1", "%s of %s is slow", node, id)
+		}
+	}
+}
+
 // TestGuaranteeIsReclaimed guards against guaranteed work that starts later than ReclaimTime because urgent work of
 // another workspace beyond its guarantee holds the room. Guaranteed work must preempt it however much work that wastes.
 func TestGuaranteeIsReclaimed(t *testing.T) {
--- /dev/null
+++ b/internal/planner/speed.go
@@ -0,0 +1,85 @@
+package planner
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// speedHalfLife is the time in which what is known of a worker's speed counts half.
+	speedHalfLife = 15 * time.Second
+	// speedPrior is the number of samples of speed 1 that is assumed of each worker, since the tasks of a step differ.
+	speedPrior = 1.0
+	// minSpeedPercent is the least progress of an attempt that shows the speed of its worker.
+	minSpeedPercent = 20
+	// minSpeedWorkers is the least number of other workers with which a worker is compared.
+	minSpeedWorkers = 2
+	// speedAccuracy is the logarithm of the ratio by which speeds must differ to be told apart.
+	speedAccuracy = 0.3
+)
+
+// speedSamples holds the decaying sum of the logarithms of a worker's speeds, and the weight of its samples.
+type speedSamples struct {
+	sum, weight float64
+	at          time.Time
+}
+
+// decayed returns the samples as they count at the time given.
+func (s speedSamples) decayed(now time.Time) speedSamples {
+	if s.weight == 0 {
+		return speedSamples{at: now}
+	}
+	left := math.Exp2(-max(0, now.Sub(s.at).Seconds()) / speedHalfLife.Seconds())
+	return speedSamples{s.sum * left, s.weight * left, now}
+}
+
+// noteSpeed compares, once for each attempt, its projected run time with those of the same step on other workers.
+func (c *Core) noteSpeed(r *attempt, now time.Time) {
+	if r.speedNoted || r.percent < minSpeedPercent || r.percent >= 100 || r.checkpoint != "" || !c.progressMeaningful(r) {
+		return
+	}
+	runTimes := r.job.stepRunTimes[r.id.Task.Step]
+	if runTimes == nil || len(runTimes.byWorker) <= minSpeedWorkers {
+		return
+	}
+	id := r.worker.incarnation.Worker
+	own, others := runTimes.byWorker[id], runTimes.medianExcept(id)
+	if own <= 0 || others <= 0 {
+		return
+	}
+	r.speedNoted = true
+	samples := r.worker.speed.decayed(now)
+	samples.sum += math.Log(float64(others) / float64(own))
+	samples.weight++
+	r.worker.speed = samples
+}
+
+// workerSpeed returns the speed of a worker; 1 is that of most workers.
+func (c *Core) workerSpeed(w *worker) float64 {
+	s := w.speed.decayed(c.plannedAt)
+	return math.Exp(s.sum / (s.weight + speedPrior))
+}
+
+// slowness returns a number that is larger the slower a worker is, and equal for workers whose speeds can't be told
+// apart.
+func (p *pass) slowness(w *worker) int {
+	n, known := p.slownessOf[w]
+	if !known {
+		n = -int(math.Round(math.Log(p.core.workerSpeed(w)) / speedAccuracy))
+		p.slownessOf[w] = n
+	}
+	return n
+}
+
+// slownesses returns the distinct slownesses of a pool, the smallest first.
+func (p *pass) slownesses(pool []*worker) []int {
+	var all []int
+	for _, w := range pool {
+		if n := p.slowness(w); !slices.Contains(all, n) {
+			all = append(all, n)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -54,6 +54,8 @@
 
 	// quarantinedUntil is the earliest end of the last period in which the worker was avoided.
 	quarantinedUntil time.Time
+	// speed holds the samples of the speed of this incarnation.
+	speed speedSamples
 	// startsPausedUntil is when the worker may get a start again after it has refused one.
 	startsPausedUntil time.Time
 	// refusalPause is the length of the last such pause; 0 after the worker has accepted a start.
@@ -216,6 +218,7 @@
 	}
 	c.noteProven(r, now)
 	c.recordProjectedRunTime(r)
+	c.noteSpeed(r, now)
 }
 
 // confirm records that an attempt was reported as running.
