planner: single long tasks do not make their worker slow

Cause: on the sites of demands/ single tasks run many times as long as the others of their step, and one such task moved its worker by two steps of speed.

Change: a sample of speed counts at most a factor of 1.6, and two samples of nominal speed are assumed, so that one sample alone makes no difference.

--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -9,8 +9,11 @@
 const (
 	// speedHalfLife is the time in which what is known of a worker's speed counts half.
 	speedHalfLife = 15 * time.Second
-	// speedPrior is the number of samples of speed 1 that is assumed of each worker, since the tasks of a step differ.
-	speedPrior = 1.0
+	// speedPrior is the number of samples of speed 1 that is assumed of each worker, so that one sample alone
+	// never makes a difference.
+	speedPrior = 2.0
+	// maxSpeedSample bounds the logarithm of one sample, since single tasks may be many times as long as the others.
+	maxSpeedSample = 0.5
 	// minSpeedPercent is the least progress of an attempt that shows the speed of its worker.
 	minSpeedPercent = 20
 	// minSpeedWorkers is the least number of other workers with which a worker is compared.
@@ -50,7 +53,7 @@
 	}
 	r.speedNoted = true
 	samples := r.worker.speed.decayed(now)
-	samples.sum += math.Log(float64(others) / float64(own))
+	samples.sum += min(max(math.Log(float64(others)/float64(own)), -maxSpeedSample), maxSpeedSample)
 	samples.weight++
 	r.worker.speed = samples
 }
