planner: flapping workers, gang members and placements judged by health

A restart counts also if the worker was seen to leave in between, each member of a gang that ends well speaks for its worker, a gang prefers a rack of sound workers, and a worker on probation is not held back by an attempt that stays at 0 percent for longer than a second.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -1,9 +1,9 @@
 // Package assessor judges the health of workers by what happens on them: failed, stalled and slow attempts, refused
 // starts, restarts, and gaps between reports.
 //
-// Each observation adds blame to a worker. Blame decays, and each success takes a share of it. Failures weigh less the more the same
-// workload fails on other workers, and the more of the other workers are failing. The package performs no I/O and
-// keeps no clock; callers pass the time, which must not decrease.
+// Each observation adds blame to a worker. Blame decays, and each success takes a share of it. Failures weigh less the
+// more the same workload fails on other workers, and the more of the other workers are failing. The package performs no
+// I/O and keeps no clock; callers pass the time, which must not decrease.
 package assessor
 
 import (
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -71,7 +71,7 @@
 }
 
 // assessHealth sets the health of a usable worker for the pass. A worker on probation has no room while one of its
-// attempts has not worked for provingTime.
+// attempts is younger than provingTime.
 func (p *pass) assessHealth(w *worker) {
 	c := p.core
 	id := w.healthID()
@@ -82,7 +82,7 @@
 		c.planBy(w.quarantinedUntil)
 	case assessor.Probation:
 		for _, r := range w.attempts {
-			if !r.proven && !r.stopping {
+			if !r.stopping && (!r.confirmed || p.now.Sub(r.started) < provingTime) {
 				p.room[w] = descriptor.Capacity{}
 				c.planBy(p.now.Add(provingTime))
 				return
@@ -100,6 +100,15 @@
 	return room
 }
 
+// worstHealth returns the worst health of the workers of a placement.
+func (p *pass) worstHealth(ws placement) assessor.State {
+	worst := assessor.Sound
+	for _, w := range ws {
+		worst = max(worst, p.health[w])
+	}
+	return worst
+}
+
 // sound returns the sound workers of a pool, and false if all of them are.
 func (p *pass) sound(pool []*worker) ([]*worker, bool) {
 	unsound := func(w *worker) bool { return p.health[w] != assessor.Sound }
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -394,12 +394,13 @@
 	return step.Count
 }
 
-// bestPlacement returns a placement in the data's rack if possible, or else the fastest one, and of equal ones that in the
-// pool with the least room; nil when none does. With countReleasing it also uses capacity that is being released.
+// bestPlacement returns a placement in the data's rack if possible, or else the one on the soundest and then fastest
+// workers, and of equal ones that in the pool with the least room; nil when none does. With countReleasing it also uses capacity that is being released.
 func (p *pass) bestPlacement(g group, step *descriptor.Step, pools [][]*worker, need descriptor.Capacity, n int, countReleasing bool) placement {
 	var best placement
 	var bestLeft float64
 	var bestSlowness int
+	var bestHealth assessor.State
 	for i, pool := range pools {
 		ws := p.fill(g, step, pool, need, n, countReleasing)
 		if ws == nil {
@@ -412,9 +413,9 @@
 		for _, w := range pool {
 			left += freeFractionSum(p.room[w], w.status.Capacity)
 		}
-		slowness := slices.Max(p.slownesses(ws))
-		if best == nil || cmp.Or(cmp.Compare(slowness, bestSlowness), cmp.Compare(left, bestLeft)) < 0 {
-			best, bestLeft, bestSlowness = ws, left, slowness
+		health, slowness := p.worstHealth(ws), slices.Max(p.slownesses(ws))
+		if best == nil || cmp.Or(cmp.Compare(health, bestHealth), cmp.Compare(slowness, bestSlowness), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestSlowness, bestHealth = ws, left, slowness, health
 		}
 	}
 	return best
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -431,6 +431,26 @@
 	}
 }
 
+// TestFlappingWorkerGetsNoWork names the load of a worker that goes down and up each 1.4 s, while others have room. Each
+// time it is up it must not take a task that it then loses.
+func TestFlappingWorkerGetsNoWork(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("job", 3, 8, time.Minute, priority(1))
+	f.planAndApply()
+	lost := 0
+	for born := range int64(6) {
+		lost += len(f.running["n00"])
+		clear(f.running["n00"])
+		f.core.RemoveNode("n00", f.now, "worker process is gone")
+		s := f.status["n00"]
+		s.Incarnation.Born = born + 2
+		f.status["n00"] = s
+		f.reportAll()
+		f.advance(1400 * time.Millisecond)
+	}
+	assert.Assert(t, lost <= 2, "%d attempts lost", lost)
+}
+
 // TestStalledTaskMoves guards against a task that stays on a worker on which it makes no progress. It must be stopped
 // within 5 s and restart on another worker.
 func TestStalledTaskMoves(t *testing.T) {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -136,7 +136,7 @@
 // current leader, after which the worker refuses the order.
 func (c *Core) beginIncarnation(w *worker, o Observation) []Order {
 	attempts := w.sortedAttempts()
-	if w.statusKnown && w.incarnation.Worker == o.Status.Incarnation.Worker {
+	if w.incarnation.Worker == o.Status.Incarnation.Worker {
 		c.health.Restarted(w.healthID(), o.Received)
 	}
 	*w = worker{node: w.node, incarnation: o.Status.Incarnation, attempts: w.attempts, quarantinedUntil: w.quarantinedUntil}
@@ -540,7 +540,11 @@
 		for i := range tasks {
 			if tasks[i].Attempt == e.Attempt {
 				tasks[i].markDone()
-				j.dropActive(descriptor.TaskID{Job: j.id(), Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: i})
+				id := descriptor.TaskID{Job: j.id(), Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: i}
+				if m := j.activeAttempts[id]; m != nil {
+					c.health.Succeeded(m.worker.healthID(), assessor.JobID(j.id()), m.started, now)
+				}
+				j.dropActive(id)
 			}
 		}
 	}
