planner: only slow workers are told apart; gangs wait for a rack as before

Where all workers are as fast, small differences of measured speed cost the fit.

Three samples of nominal speed are assumed, and faster workers than most count like these.

--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -335,20 +335,13 @@
 
 // rackWait returns how long a gang waits for room on one rack before it is spread over racks, where it takes
 // DistanceFactor times as long. A gang whose Stretch is less than DistanceFactor waits for the time that Stretch and
-// Slack leave beyond its run time on one rack, and any other for defaultRackWait. While the service is busy, gangs that
-// are not guaranteed wait for at least half of the time that they would lose, since a spread gang takes room from others
-// all that time.
+// Slack leave beyond its run time on one rack, and any other for defaultRackWait.
 func (p *pass) rackWait(g group) time.Duration {
 	w := &g.job.record.Workload
-	expected := float64(p.core.expectedRunTime(g.job, g.step))
-	wait := defaultRackWait
-	if w.Stretch < p.core.Limits.DistanceFactor {
-		wait = time.Duration((w.Stretch-1)*expected) + w.Slack
+	if w.Stretch >= p.core.Limits.DistanceFactor {
+		return defaultRackWait
 	}
-	if g.level > levelGuaranteed && p.serviceBusy(w.Service) {
-		wait = max(wait, time.Duration((p.core.Limits.DistanceFactor-1)/2*expected))
-	}
-	return wait
+	return time.Duration((w.Stretch-1)*float64(p.core.expectedRunTime(g.job, g.step))) + w.Slack
 }
 
 // pools returns the sets of workers that are tried for a gang: each rack, with that of the data first, and then all
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -11,7 +11,7 @@
 	speedHalfLife = 15 * time.Second
 	// speedPrior is the number of samples of speed 1 that is assumed of each worker, so that one sample alone
 	// never makes a difference.
-	speedPrior = 2.0
+	speedPrior = 3.0
 	// maxSpeedSample bounds the logarithm of one sample, since single tasks may be many times as long as the others.
 	maxSpeedSample = 0.5
 	// minSpeedPercent is the least progress of an attempt that shows the speed of its worker.
@@ -64,12 +64,12 @@
 	return math.Exp(s.sum / (s.weight + speedPrior))
 }
 
-// slowness returns a number that is larger the slower a worker is, and equal for workers whose speeds can't be told
-// apart.
+// slowness returns a number that is larger the slower a worker is. It is 0 for all workers that are not slower than most,
+// since the fit goes before a small gain.
 func (p *pass) slowness(w *worker) int {
 	n, known := p.slownessOf[w]
 	if !known {
-		n = -int(math.Round(math.Log(p.core.workerSpeed(w)) / speedAccuracy))
+		n = max(0, -int(math.Round(math.Log(p.core.workerSpeed(w))/speedAccuracy)))
 		p.slownessOf[w] = n
 	}
 	return n
