--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"testing"
@@ -400,6 +401,56 @@
 	}
 }
 
+// TestWorkerFailingAllOnFullFleet names the load of a worker that fails each start at once while its health is good, on a
+// full fleet where it alone has room. Waiting workloads must not use up their attempts there (three workloads of 139 on
+// a test day failed so).
+func TestWorkerFailingAllOnFullFleet(t *testing.T) {
+	f := newFixture(t, 3)
+	f.submit("full", 9, 8, time.Minute, priority(1))
+	f.planAndApply()
+	bad, attemptID := f.attemptOf("full", 0)
+	f.submit("wide", 40, 1, 2*time.Second, priority(2))
+	f.submit("other", 40, 1, 2*time.Second, priority(2))
+	f.advance(2 * time.Second)
+	f.endAttempt(bad, attemptID, descriptor.OutcomeDone)
+	failed := 0
+	for range 50 {
+		f.advance(100 * time.Millisecond)
+		for id := range maps.Clone(f.running[bad]) {
+			f.endAttempt(bad, id, descriptor.OutcomeFailed)
+			failed++
+		}
+	}
+	assert.Assert(t, failed > 0 && failed <= 9, "%d attempts failed", failed)
+	for _, id := range []descriptor.JobID{"wide", "other"} {
+		j := f.core.jobs[id]
+		assert.Equal(t, j.progress.State.Final(), false)
+		for _, task := range j.tasks(0, 0) {
+			assert.Assert(t, task.FailedAttempts <= 1, "a task has failed twice on one worker")
+		}
+	}
+}
+
+// TestFlappingWorkerGetsNoWork names the load of a worker that goes down and up each 1.4 s, while others have room. Each
+// time it is up it must not take a task that it then loses.
+func TestFlappingWorkerGetsNoWork(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("job", 3, 8, time.Minute, priority(1))
+	f.planAndApply()
+	lost := 0
+	for born := range int64(6) {
+		lost += len(f.running["n00"])
+		clear(f.running["n00"])
+		f.core.RemoveNode("n00", f.now, "worker process is gone")
+		s := f.status["n00"]
+		s.Incarnation.Born = born + 2
+		f.status["n00"] = s
+		f.reportAll()
+		f.advance(1400 * time.Millisecond)
+	}
+	assert.Assert(t, lost <= 2, "%d attempts lost", lost)
+}
+
 // TestStalledTaskMoves guards against a task that stays on a worker on which it makes no progress. It must be stopped
 // within 5 s and restart on another worker.
 func TestStalledTaskMoves(t *testing.T) {
@@ -632,6 +683,44 @@
 	assert.Assert(t, !slices.Contains(nodes, slow), "%v, slow is %s", nodes, slow)
 }
 
+// TestGangsAndWideStepsTakeFastWorkers names the load of a fleet on which the workers of one rack take half as long again
+// as the others, too little to be taken for slow. A gang must not wait for one of them, and the tasks of a wide step go
+// to the faster workers first.
+func TestGangsAndWideStepsTakeFastWorkers(t *testing.T) {
+	f := newFixture(t, 3)
+	for _, id := range []descriptor.JobID{"first", "second", "third", "fourth", "fifth"} {
+		f.submit(id, 9, 8, 10*time.Second, priority(1))
+		f.planAndApply()
+		for range 60 {
+			f.now = f.now.Add(100 * time.Millisecond)
+			f.clock += 100
+			for node, attempts := range f.running {
+				for a, s := range attempts {
+					if f.status[node].Rack != "r1" || f.clock/100%3 != 0 {
+						s.Percent++
+					}
+					f.running[node][a] = s
+				}
+			}
+			f.reportAll()
+		}
+		for _, node := range f.runningNodes(id) {
+			for a := range f.running[node] {
+				f.endAttempt(node, a, descriptor.OutcomeDone)
+			}
+		}
+		f.reportAll()
+	}
+	f.submit("gang", 3, 8, 10*time.Second, sameRack)
+	f.submit("next", 24, 1, 10*time.Second, priority(1))
+	f.planAndApply()
+	for _, id := range []descriptor.JobID{"gang", "next"} {
+		for _, node := range f.runningNodes(id) {
+			assert.Assert(t, f.status[node].Rack != "r1", "%s of %s is slow", node, id)
+		}
+	}
+}
+
 // TestGuaranteeIsReclaimed guards against guaranteed work that starts later than ReclaimTime because urgent work of
 // another workspace beyond its guarantee holds the room. Guaranteed work must preempt it however much work that wastes.
 func TestGuaranteeIsReclaimed(t *testing.T) {
