--- /dev/null
+++ b/internal/preempter/preempter.go
@@ -0,0 +1,371 @@
+// Package preempter chooses which running work to stop, and which to wait for, so that work without room can start.
+//
+// A unit is a set of running members, on one worker or several, that are stopped together. A demand asks for room for a
+// number of equal tasks on the workers of one pool out of several. Choose solves several demands together. It holds no
+// state and does no I/O, and equal inputs give equal results.
+package preempter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	// maxOrders bounds the orders in which the demands are tried.
+	maxOrders = 4
+	// maxShared bounds the units that are tried as the first to be stopped for several demands together.
+	maxShared = 4
+	// maxEvaluations bounds the sets of multi-worker units that are evaluated for one demand and pool.
+	maxEvaluations = 64
+	// maxStates bounds the sums of freed capacity that are tracked for one worker.
+	maxStates = 128
+	// maxOwnUnits bounds the single-worker units of one worker that are considered, the cheapest first.
+	maxOwnUnits = 64
+)
+
+// Worker is a worker with the capacity that is free on it. A negative capacity is promised to others.
+type Worker struct {
+	Free descriptor.Capacity
+}
+
+// Member is a running part of a unit.
+type Member struct {
+	// Worker is the index of the worker that it runs on.
+	Worker int
+	// Need is the capacity that it occupies.
+	Need descriptor.Capacity
+}
+
+// Unit is running work that is stopped as a whole.
+type Unit struct {
+	// Members are the parts of the unit, at most one for each worker.
+	Members []Member
+	// Level is the urgency level; only demands of a lower, more urgent level may stop the unit.
+	Level int
+	// Protected units may be stopped only by demands that are Guaranteed.
+	Protected bool
+	// Cost is what a stop costs; it is at least 0.
+	Cost float64
+	// Waste is the part of the cost that counts against MaxWaste of a demand.
+	Waste float64
+	// EndsIn is the time until the unit ends by itself; 0 if that is not known.
+	EndsIn time.Duration
+}
+
+// Pool is a set of workers on which a demand may be placed as a whole.
+type Pool struct {
+	// Workers are indexes of workers, the preferred ones first.
+	Workers []int
+	// CostFactor multiplies the cost when pools are compared; 0 means 1.
+	CostFactor float64
+}
+
+// Demand is a group of equal tasks that needs room.
+type Demand struct {
+	Count int
+	Need  descriptor.Capacity
+	// PerWorker is the most tasks that one worker may take; 0 means no limit.
+	PerWorker int
+	Pools     []Pool
+	Level     int
+	// Guaranteed demands come before all others, may stop Protected units and have no MaxWaste.
+	Guaranteed bool
+	// MaxWait is how long the demand can wait for units that end by themselves.
+	MaxWait time.Duration
+	// MaxWaste bounds the waste of the units that are stopped for the demand.
+	MaxWaste float64
+}
+
+// Choice is the result for one demand.
+type Choice struct {
+	// Served is true if the demand gets room; otherwise the other fields are empty.
+	Served bool
+	// Stop holds the indexes of the units to stop, and Await those of the units that end by themselves in time, both
+	// sorted.
+	Stop  []int
+	Await []int
+	// Workers has the worker of each task.
+	Workers []int
+	// Cost is the sum of the costs of Stop.
+	Cost float64
+}
+
+// Choose returns a choice for each demand. Demands must be sorted by importance, with the guaranteed ones first. A unit
+// is stopped for at most one demand; the room that is left of it serves the demands that are placed after.
+func Choose(workers []Worker, units []Unit, demands []Demand) []Choice {
+	given := identity(len(demands))
+	best := chooseInOrder(workers, units, demands, given, noUnit, solve)
+	try := func(order []int, first int, solver func(*problem) (solution, bool)) {
+		if choices := chooseInOrder(workers, units, demands, order, first, solver); better(demands, choices, best) {
+			best = choices
+		}
+	}
+	if len(demands) < 2 {
+		return best
+	}
+	for _, order := range orders(demands) {
+		try(order, noUnit, solve)
+	}
+	for _, u := range sharedUnits(units, demands) {
+		try(given, u, solve)
+	}
+	try(given, noUnit, solveCheapestFirst)
+	return best
+}
+
+// sharedUnits returns the units that span workers and that each demand may stop, the cheapest first, at most maxShared.
+// The room of one may serve several demands, although it is the cheapest for none of them alone.
+func sharedUnits(units []Unit, demands []Demand) []int {
+	var shared []int
+	for i, u := range units {
+		if len(u.Members) > 1 && !slices.ContainsFunc(demands, func(d Demand) bool { return !mayStop(&d, &u) }) {
+			shared = append(shared, i)
+		}
+	}
+	slices.SortFunc(shared, func(a, b int) int { return cmp.Or(cmp.Compare(units[a].Cost, units[b].Cost), cmp.Compare(a, b)) })
+	return shared[:min(len(shared), maxShared)]
+}
+
+// mayStop reports whether a demand may stop a unit.
+func mayStop(d *Demand, u *Unit) bool { return u.Level > d.Level && (!u.Protected || d.Guaranteed) }
+
+// orders returns orders in which the demands are tried beside the given one: those with one of them moved to the front of
+// its level.
+func orders(demands []Demand) [][]int {
+	given := identity(len(demands))
+	var result [][]int
+	for i := 1; i < len(demands) && len(result) < maxOrders; i++ {
+		front := slices.IndexFunc(demands, func(d Demand) bool { return d.Guaranteed == demands[i].Guaranteed })
+		if front == i {
+			continue
+		}
+		order := slices.Delete(slices.Clone(given), i, i+1)
+		result = append(result, slices.Insert(order, front, i))
+	}
+	return result
+}
+
+func identity(n int) []int {
+	indexes := make([]int, n)
+	for i := range indexes {
+		indexes[i] = i
+	}
+	return indexes
+}
+
+// better reports whether a serves more guaranteed demands than b, or as many of these and more of the others, or equal
+// numbers at a lower cost.
+func better(demands []Demand, a, b []Choice) bool {
+	rate := func(choices []Choice) (guaranteed, served int, cost float64) {
+		for i, c := range choices {
+			if c.Served && demands[i].Guaranteed {
+				guaranteed++
+			}
+			if c.Served {
+				served++
+			}
+			cost += c.Cost
+		}
+		return guaranteed, served, cost
+	}
+	guaranteedA, servedA, costA := rate(a)
+	guaranteedB, servedB, costB := rate(b)
+	return cmp.Or(cmp.Compare(guaranteedA, guaranteedB), cmp.Compare(servedA, servedB), cmp.Compare(costB, costA)) > 0
+}
+
+// problem is the search for one demand on one pool.
+type problem struct {
+	demand *Demand
+	units  []Unit
+	// workers are the indexes of the workers of the pool.
+	workers []int
+	// free holds the free capacity of all workers, with that of the units that are awaited.
+	free []descriptor.Capacity
+	// own holds, for each worker of the pool, the units that run on it alone, the cheapest first.
+	own map[int][]int
+	// wide holds the units that span workers and of which a member is in the pool, the cheapest first.
+	wide []int
+	// tables caches the costs by worker and capacity freed by wide units.
+	tables map[tableKey]table
+}
+
+// solution is a set of units to stop for one demand, with its cost.
+type solution struct {
+	stop []int
+	cost float64
+}
+
+// noUnit stands for no unit.
+const noUnit = -1
+
+// chooseInOrder solves the demands one after the other. What one takes or frees counts for those after it. Unit first is
+// stopped for the first demand before that is solved.
+func chooseInOrder(
+	workers []Worker, units []Unit, demands []Demand, order []int, first int, solver func(*problem) (solution, bool),
+) []Choice {
+	s := state{free: make([]descriptor.Capacity, len(workers)), units: units, spent: make([]bool, len(units))}
+	for i, w := range workers {
+		s.free[i] = w.Free
+	}
+	choices := make([]Choice, len(demands))
+	if first != noUnit {
+		s.release(first)
+		s.first = []int{first}
+	}
+	for _, i := range order {
+		choices[i] = s.choose(&demands[i], solver)
+	}
+	return choices
+}
+
+// state is what is left to assign while the demands are solved.
+type state struct {
+	free  []descriptor.Capacity
+	units []Unit
+	// spent marks the units that are to be stopped or awaited.
+	spent []bool
+	// first holds units that are stopped already, on behalf of the next demand that is served.
+	first []int
+}
+
+// choose serves one demand on the pool where that costs least, if it may cost so much.
+func (s *state) choose(d *Demand, solver func(*problem) (solution, bool)) Choice {
+	var best *problem
+	var bestSolution solution
+	bestCost := math.Inf(1)
+	for _, pool := range d.Pools {
+		p := s.newProblem(d, pool.Workers)
+		found, ok := solver(p)
+		for _, u := range s.first {
+			found.stop = append(found.stop, u)
+			found.cost += s.units[u].Cost
+		}
+		if !ok || !s.mayWaste(d, found.stop) {
+			continue
+		}
+		if cost := found.cost * cmp.Or(pool.CostFactor, 1); best == nil || cost < bestCost {
+			best, bestSolution, bestCost = p, found, cost
+		}
+	}
+	if best == nil {
+		return Choice{}
+	}
+	return s.commit(best, bestSolution)
+}
+
+func (s *state) mayWaste(d *Demand, stop []int) bool {
+	if d.Guaranteed {
+		return true
+	}
+	waste := 0.0
+	for _, u := range stop {
+		waste += s.units[u].Waste
+	}
+	return waste <= d.MaxWaste
+}
+
+// endsInTime reports whether a unit that is not spent ends by itself within MaxWait of the demand.
+func (s *state) endsInTime(d *Demand, u int) bool {
+	return !s.spent[u] && s.units[u].EndsIn > 0 && s.units[u].EndsIn <= d.MaxWait
+}
+
+func (s *state) newProblem(d *Demand, pool []int) *problem {
+	p := &problem{demand: d, units: s.units, workers: pool, free: slices.Clone(s.free), own: map[int][]int{}, tables: map[tableKey]table{}}
+	inPool := make([]bool, len(s.free))
+	for _, w := range pool {
+		inPool[w] = true
+	}
+	for i := range s.units {
+		u := &s.units[i]
+		switch {
+		case s.spent[i]:
+		case s.endsInTime(d, i):
+			for _, m := range u.Members {
+				p.free[m.Worker] = p.free[m.Worker].Plus(m.Need)
+			}
+		case !mayStop(d, u):
+		case len(u.Members) == 1:
+			if w := u.Members[0].Worker; inPool[w] {
+				p.own[w] = append(p.own[w], i)
+			}
+		case slices.ContainsFunc(u.Members, func(m Member) bool { return inPool[m.Worker] }):
+			p.wide = append(p.wide, i)
+		}
+	}
+	byCost := func(a, b int) int { return cmp.Or(cmp.Compare(s.units[a].Cost, s.units[b].Cost), cmp.Compare(a, b)) }
+	slices.SortFunc(p.wide, byCost)
+	for w, own := range p.own {
+		slices.SortFunc(own, byCost)
+		p.own[w] = own[:min(len(own), maxOwnUnits)]
+	}
+	return p
+}
+
+// commit takes the room of a solution, places the tasks and returns the choice.
+func (s *state) commit(p *problem, found solution) Choice {
+	c := Choice{Served: true, Stop: slices.Sorted(slices.Values(found.stop)), Cost: found.cost}
+	s.first = nil
+	for _, u := range c.Stop {
+		if s.spent[u] {
+			continue
+		}
+		s.release(u)
+		for _, m := range s.units[u].Members {
+			p.free[m.Worker] = p.free[m.Worker].Plus(m.Need)
+		}
+	}
+	c.Workers = p.place()
+	for _, w := range c.Workers {
+		s.free[w] = s.free[w].Minus(p.demand.Need)
+	}
+	for u := range s.units {
+		if s.endsInTime(p.demand, u) && slices.ContainsFunc(s.units[u].Members, func(m Member) bool {
+			return slices.Contains(c.Workers, m.Worker) && lacks(s.free[m.Worker])
+		}) {
+			s.release(u)
+			c.Await = append(c.Await, u)
+		}
+	}
+	return c
+}
+
+// release marks a unit as spent and adds its capacity to what is free.
+func (s *state) release(u int) {
+	s.spent[u] = true
+	for _, m := range s.units[u].Members {
+		s.free[m.Worker] = s.free[m.Worker].Plus(m.Need)
+	}
+}
+
+func lacks(c descriptor.Capacity) bool { return c.Cores < 0 || c.Memory < 0 || c.Accelerators < 0 }
+
+// limit returns the most tasks that one worker may take.
+func (p *problem) limit() int {
+	if p.demand.PerWorker > 0 {
+		return min(p.demand.PerWorker, p.demand.Count)
+	}
+	return p.demand.Count
+}
+
+// place returns a worker for each task, with as few workers as possible. The tasks must fit.
+func (p *problem) place() []int {
+	type space struct{ worker, fitting int }
+	spaces := make([]space, 0, len(p.workers))
+	for _, w := range p.workers {
+		if k := p.free[w].CountFitting(p.demand.Need, p.limit()); k > 0 {
+			spaces = append(spaces, space{w, k})
+		}
+	}
+	slices.SortStableFunc(spaces, func(a, b space) int { return cmp.Compare(b.fitting, a.fitting) })
+	var placed []int
+	for _, sp := range spaces {
+		for range min(sp.fitting, p.demand.Count-len(placed)) {
+			placed = append(placed, sp.worker)
+		}
+	}
+	return placed
+}
--- /dev/null
+++ b/internal/preempter/search.go
@@ -0,0 +1,252 @@
+package preempter
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// solve returns the cheapest set of units found that makes room for the demand on the pool.
+func solve(p *problem) (solution, bool) {
+	best, found := p.evaluate(nil)
+	var bestWide []int
+	evaluations := 1
+	try := func(wide []int) bool {
+		if evaluations >= maxEvaluations {
+			return false
+		}
+		evaluations++
+		s, ok := p.evaluate(wide)
+		if !ok || found && s.cost >= best.cost {
+			return false
+		}
+		best, bestWide, found = s, wide, true
+		return true
+	}
+	// The earlier algorithm's set bounds the cost, and is a start for a search where no unit alone makes room.
+	if s, ok := solveCheapestFirst(p); ok && (!found || s.cost < best.cost) {
+		best, found = s, true
+		bestWide = slices.DeleteFunc(slices.Clone(s.stop), func(u int) bool { return !slices.Contains(p.wide, u) })
+		try(bestWide)
+	}
+	if !found {
+		return solution{}, false
+	}
+	if 1<<len(p.wide) <= maxEvaluations {
+		for set := 1; set < 1<<len(p.wide); set++ {
+			try(p.wideSubset(set))
+		}
+		return best, true
+	}
+	for improved := true; improved; {
+		improved = false
+		for _, u := range p.wide {
+			// A unit that costs as much as the best set can be part of no better one.
+			if p.units[u].Cost < best.cost || slices.Contains(bestWide, u) {
+				improved = try(toggled(bestWide, u)) || improved
+			}
+		}
+		improved = improved && evaluations < maxEvaluations
+	}
+	return best, true
+}
+
+func (p *problem) wideSubset(set int) []int {
+	var subset []int
+	for i, u := range p.wide {
+		if set>>i&1 == 1 {
+			subset = append(subset, u)
+		}
+	}
+	return subset
+}
+
+// toggled returns a copy of the set without u if it is in there, or else with it.
+func toggled(set []int, u int) []int {
+	if i := slices.Index(set, u); i >= 0 {
+		return slices.Delete(slices.Clone(set), i, i+1)
+	}
+	return append(slices.Clone(set), u)
+}
+
+// evaluate returns the cheapest set that consists of the given wide units and any single-worker units. It reports false
+// when no such set makes enough room.
+func (p *problem) evaluate(wide []int) (solution, bool) {
+	total := solution{stop: slices.Clone(wide)}
+	freed := map[int]descriptor.Capacity{}
+	for _, u := range wide {
+		total.cost += p.units[u].Cost
+		for _, m := range p.units[u].Members {
+			freed[m.Worker] = freed[m.Worker].Plus(m.Need)
+		}
+	}
+	n := p.demand.Count
+	// costs[k] is the least cost of room for k tasks, n meaning at least n, on the workers so far; taken[i][k] is the
+	// number of them on worker i.
+	costs := make([]float64, n+1)
+	for k := range costs[1:] {
+		costs[k+1] = math.Inf(1)
+	}
+	taken := make([][]int, len(p.workers))
+	for i, w := range p.workers {
+		t := p.tableOf(w, freed[w])
+		taken[i] = make([]int, n+1)
+		for k := n; k > 0; k-- {
+			for own := 1; own < len(t.costs); own++ {
+				if c := costs[max(0, k-own)] + t.costs[own]; c < costs[k] {
+					costs[k], taken[i][k] = c, own
+				}
+			}
+		}
+	}
+	if math.IsInf(costs[n], 1) {
+		return solution{}, false
+	}
+	for i, k := len(p.workers)-1, n; i >= 0 && k > 0; i-- {
+		own := taken[i][k]
+		if own == 0 {
+			continue
+		}
+		w := p.workers[i]
+		t := p.tableOf(w, freed[w])
+		for x, u := range p.own[w] {
+			if t.sets[own]>>x&1 == 1 {
+				total.stop = append(total.stop, u)
+				total.cost += p.units[u].Cost
+			}
+		}
+		k = max(0, k-own)
+	}
+	return total, true
+}
+
+// table holds, by number of tasks, the least cost of room for them on one worker, and the set of the worker's own units
+// to stop as bits.
+type table struct {
+	costs []float64
+	sets  []uint64
+}
+
+type tableKey struct {
+	worker int
+	freed  descriptor.Capacity
+}
+
+// tableOf returns the table of a worker on which wide units free the given capacity.
+func (p *problem) tableOf(w int, freed descriptor.Capacity) table {
+	key := tableKey{w, freed}
+	if t, ok := p.tables[key]; ok {
+		return t
+	}
+	t := p.newTable(w, p.free[w].Plus(freed))
+	p.tables[key] = t
+	return t
+}
+
+// option is a set of a worker's own units, as bits, with its cost and the capacity that it leaves free.
+type option struct {
+	free descriptor.Capacity
+	cost float64
+	set  uint64
+}
+
+// newTable builds the table of a worker from the cheapest set for each sum of freed capacity.
+func (p *problem) newTable(w int, free descriptor.Capacity) table {
+	limit := p.limit()
+	t := table{costs: make([]float64, 1, limit+1), sets: make([]uint64, 1, limit+1)}
+	add := func(o option) {
+		for k := o.free.CountFitting(p.demand.Need, limit); k > 0; k-- {
+			for len(t.costs) <= k {
+				t.costs, t.sets = append(t.costs, math.Inf(1)), append(t.sets, 0)
+			}
+			if o.cost < t.costs[k] {
+				t.costs[k], t.sets[k] = o.cost, o.set
+			}
+		}
+	}
+	for _, o := range p.options(w, free) {
+		add(o)
+	}
+	return t
+}
+
+// options returns the cheapest sets of a worker's own units, at most maxStates, one for each capacity left free. Sets
+// beyond the first that makes room for as many tasks as the limit allows are left out if they cost more.
+func (p *problem) options(w int, free descriptor.Capacity) []option {
+	options := []option{{free: free}}
+	if free.CountFitting(p.demand.Need, p.limit()) == p.limit() {
+		return options
+	}
+	for x, u := range p.own[w] {
+		byFree := make(map[descriptor.Capacity]option, 2*len(options))
+		for _, o := range options {
+			byFree[o.free] = o
+		}
+		for _, o := range options {
+			if o.free.CountFitting(p.demand.Need, p.limit()) == p.limit() {
+				continue
+			}
+			next := option{o.free.Plus(p.units[u].Members[0].Need), o.cost + p.units[u].Cost, o.set | 1<<x}
+			if old, ok := byFree[next.free]; !ok || next.cost < old.cost {
+				byFree[next.free] = next
+			}
+		}
+		options = slices.SortedFunc(maps.Values(byFree), func(a, b option) int {
+			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.set, b.set))
+		})
+		options = options[:min(len(options), maxStates)]
+	}
+	return options
+}
+
+// solveCheapestFirst takes units, the cheapest first over the whole pool, until the demand fits, and then drops those
+// that are not needed, the most expensive first.
+func solveCheapestFirst(p *problem) (solution, bool) {
+	free := slices.Clone(p.free)
+	fits := func() bool {
+		sum := 0
+		for _, w := range p.workers {
+			sum += free[w].CountFitting(p.demand.Need, p.limit())
+		}
+		return sum >= p.demand.Count
+	}
+	add := func(u, sign int) {
+		for _, m := range p.units[u].Members {
+			free[m.Worker] = free[m.Worker].Plus(m.Need.Multiply(sign))
+		}
+	}
+	var candidates []int
+	for _, own := range p.own {
+		candidates = append(candidates, own...)
+	}
+	candidates = append(candidates, p.wide...)
+	slices.SortFunc(candidates, func(a, b int) int {
+		return cmp.Or(cmp.Compare(p.units[a].Cost, p.units[b].Cost), cmp.Compare(a, b))
+	})
+	var s solution
+	for _, u := range candidates {
+		if fits() {
+			break
+		}
+		add(u, 1)
+		s.stop = append(s.stop, u)
+	}
+	if !fits() {
+		return solution{}, false
+	}
+	for i := len(s.stop) - 1; i >= 0; i-- {
+		u := s.stop[i]
+		if add(u, -1); fits() {
+			s.stop = slices.Delete(s.stop, i, i+1)
+			continue
+		}
+		add(u, 1)
+	}
+	for _, u := range s.stop {
+		s.cost += p.units[u].Cost
+	}
+	return s, true
+}
