planner: urgent gangs without room are solved together by the preempter

Cause: victims were chosen gang by gang, the cheapest units first over the whole pool; units about to end were stopped. Change: gangs of one level are collected in a plan and solved together; a unit that ends within the time of a stop is awaited under the claim; interruptions double the cost of a task, and from three on only a guarantee may stop it. Measured: the three tests of contention_test.go fail on the code before.

--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -82,6 +82,7 @@
 		t.discarded[cause] += coreSeconds
 		ld.Metrics.Add("discarded_core_seconds_total", coreSeconds, "cause", cause)
 	}
+	t.core.Contended = func(outcome string) { ld.Metrics.Add("room_searches_total", 1, "outcome", outcome) }
 	t.core.LogEvent = func(message string, job descriptor.JobID, details ...any) {
 		ld.Log.Info(message, append([]any{"job", job, "fence", fence}, details...)...)
 	}
--- /dev/null
+++ b/internal/planner/contention_test.go
@@ -0,0 +1,111 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"persimmontrail/pkg/descriptor"
+)
+
+// endAll ends the running attempts of a workload as done.
+func (f *fixture) endAll(id descriptor.JobID, tasks int) {
+	for i := range tasks {
+		node, attempt := f.attemptOf(id, i)
+		f.endAttempt(node, attempt, descriptor.OutcomeDone)
+	}
+	f.reportAll()
+	f.planAndApply()
+}
+
+// stopsOf returns the number of stop orders for a workload.
+func (f *fixture) stopsOf(id descriptor.JobID) int {
+	n := 0
+	for _, o := range f.orders {
+		if o.Stop && o.Attempt.Task.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
+// TestInterruptedWorkIsSpared has waves of urgent gangs, beyond a guarantee, over long work that fills the fleet. Each
+// wave takes a whole rack, so without a bound the long work would begin again with every wave. It must go on after
+// maxInterruptions, also under a new leader, and still give way to a guarantee.
+func TestInterruptedWorkIsSpared(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("long", 3, 8, 60*time.Second, priority(2))
+	f.planAndApply()
+	waves := 0
+	for wave := range 8 {
+		f.advance(time.Second)
+		id := descriptor.JobID(rune('a' + wave))
+		f.submit(id, 3, 8, 2*time.Second, priority(0), sameRack)
+		f.advance(500 * time.Millisecond)
+		if len(f.runningNodes(id)) > 0 {
+			waves++
+			f.endAll(id, 3)
+			continue
+		}
+		f.core.Submit(Record{Workload: descriptor.Workload{ID: id}, Cancelled: true}, f.now)
+	}
+	assert.Equal(t, waves, maxInterruptions)
+	assert.Equal(t, f.stopsOf("long"), 3*maxInterruptions)
+	assert.Equal(t, len(f.runningNodes("long")), 3)
+
+	progress, _ := f.core.Progress("long")
+	record := f.core.jobs["long"].record
+	f.core = New(f.core.Limits)
+	f.core.Load(record, progress, f.now)
+	f.reportAll()
+	f.submit("urgent", 3, 8, 2*time.Second, priority(0), sameRack)
+	f.advance(500 * time.Millisecond)
+	assert.Equal(t, len(f.runningNodes("urgent")), 0)
+
+	f.core.SetGuarantees([]descriptor.Account{{Workspace: "a", Guaranteed: 24}})
+	f.submit("guaranteed", 3, 8, 2*time.Second, priority(0), sameRack, workspace("a"))
+	f.advance(500 * time.Millisecond)
+	assert.Equal(t, len(f.runningNodes("guaranteed")), 3)
+}
+
+// TestGangWaitsForEndingVictim has an urgent gang that needs two workers of a full rack, on one of which the work is about
+// to end. That work must not be stopped, and the room must stay claimed until it has ended.
+func TestGangWaitsForEndingVictim(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.Limits.StopGrace = 500 * time.Millisecond
+	for _, id := range []descriptor.JobID{"ending", "young", "guarded"} {
+		f.submit(id, 1, 8, 10*time.Second, priority(2))
+	}
+	f.planAndApply()
+	f.advance(9500 * time.Millisecond)
+	for _, id := range []descriptor.JobID{"young", "guarded"} {
+		node, attempt := f.attemptOf(id, 0)
+		f.running[node][attempt] = descriptor.AttemptStatus{AttemptID: attempt, Percent: 40}
+	}
+	f.reportAll()
+	f.submit("urgent", 2, 8, 30*time.Second, priority(0), sameRack)
+	f.submit("waiting", 1, 8, 10*time.Second, priority(1))
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, f.stopsOf("ending"), 0)
+	assert.Equal(t, f.stopCount(), 1)
+	f.endAll("ending", 1)
+	assert.Equal(t, len(f.runningNodes("urgent")), 2)
+	assert.Equal(t, len(f.runningNodes("waiting")), 0)
+}
+
+// TestGangsShareVictim has two urgent gangs that arrive at once, each of which needs one worker, and a gang of two whose
+// stop makes room for both.
+func TestGangsShareVictim(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit("pair", 2, 8, 60*time.Second, priority(2), gang)
+	f.submit("singles", 4, 8, 60*time.Second, priority(1))
+	f.planAndApply()
+	f.advance(3 * time.Second)
+	f.submit("first", 1, 8, 20*time.Second, priority(0), gang)
+	f.submit("second", 1, 8, 20*time.Second, priority(0), gang)
+	f.advance(500 * time.Millisecond)
+	assert.Equal(t, len(f.runningNodes("first"))+len(f.runningNodes("second")), 2)
+	assert.Equal(t, f.stopsOf("pair"), 2)
+	assert.Equal(t, f.stopsOf("singles"), 0)
+}
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -31,7 +31,7 @@
 	for _, w := range pool {
 		free[w] = p.room[w].Plus(p.releasing[w])
 		for _, r := range w.attempts {
-			if !r.stopping && r.job != nil && !r.job.step(r.id.Task.Step).Service {
+			if !r.stopping && !p.awaited[r] && r.job != nil && !r.job.step(r.id.Task.Step).Service {
 				if remaining := p.core.remainingRunTime(r, p.now); remaining <= limit {
 					endings = append(endings, ending{r, remaining})
 				}
@@ -65,14 +65,18 @@
 	return left
 }
 
-// earmarkForecast earmarks, for an urgent group, room that is expected to be free within remainingSlack and no later
-// than a preemption would free it. It reports whether it found such room.
+// maxForecast returns how long an urgent group waits for room that comes free by itself: for its remainingSlack, and no
+// longer than a preemption would take. It is at least 0.
+func (p *pass) maxForecast(g group) time.Duration {
+	return max(0, min(p.remainingSlack(g), p.core.Limits.StopGrace+stopMargin))
+}
+
+// earmarkForecast earmarks, for an urgent group, room that is expected to be free within maxForecast. It reports whether it found such room.
 func (p *pass) earmarkForecast(g group, step *descriptor.Step, pools [][]*worker, need descriptor.Capacity, n int) bool {
-	limit := p.remainingSlack(g)
+	limit := p.maxForecast(g)
 	if limit <= 0 {
 		return false
 	}
-	limit = min(limit, p.core.Limits.StopGrace+stopMargin)
 	var best placement
 	var bestWait time.Duration
 	for _, pool := range pools {
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -45,6 +45,12 @@
 	started int
 	// stepCounts caches the number of attempts on a worker by step.
 	stepCounts map[*worker]map[jobStep]int
+	// contenders are the urgent gangs of one level that have found no room so far in this pass.
+	contenders []contender
+	// fleetIndex holds the positions in fleet; it is filled on first use.
+	fleetIndex map[*worker]int
+	// awaited holds the attempts whose room counts as being released although they are not stopped.
+	awaited map[*attempt]bool
 	// reservedWorkers are kept free for urgent work and service tasks.
 	reservedWorkers map[*worker]bool
 	// reserveEnforced is true when other work may not use reservedWorkers, however long it waits.
@@ -70,6 +76,7 @@
 	p.searchLimit = min(max(searchedAttempts/max(attempts, 1), minSearches), maxSearches)
 	p.noRoom, p.searches, p.stepCounts = map[demand]bool{}, map[*job]*searches{}, map[*worker]map[jobStep]int{}
 	p.reservedWorkers, p.reserveEnforced = p.selectReserved(), p.fleetBusy()
+	p.countAllAwaited()
 	return p
 }
 
@@ -242,29 +249,16 @@
 		// The caller uses the result only to see whether a worker was earmarked, so any worker will do.
 		return eligible[0]
 	}
-	var best *worker
-	var bestVictims []*stopUnit
-	bestCost := 0.0
-	for _, w := range eligible {
-		if p.atTaskLimit(g, step, w) {
-			continue
-		}
-		victims, cost, ok := p.victims(g, []*worker{w}, need, 1)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = w, victims, cost
-		}
-	}
-	if best == nil || !p.worthPreempting(g, bestVictims, 1) {
+	r := p.cheapestVictim(g, slices.DeleteFunc(slices.Clone(eligible), func(w *worker) bool { return p.atTaskLimit(g, step, w) }))
+	if r.placement == nil {
 		return nil
 	}
-	*orders = append(*orders, p.preempt(g, bestVictims, bestCost)...)
-	p.addClaim(g, placement{best})
-	p.room[best] = p.room[best].Minus(need)
-	return best
+	*orders = append(*orders, p.take(g, r)...)
+	return r.placement[0]
 }
 
-// placeGang starts all tasks of a gang or none. For an urgent gang without room it earmarks room or preempts other
-// work. A SameRack gang is spread over racks after rackWait, or at once when no rack could hold it even if empty.
+// placeGang starts all tasks of a gang or none. For an urgent gang without room it earmarks room, or
+// makes it a contender.
 func (p *pass) placeGang(g group, d demand, eligible []*worker) []Order {
 	step := g.job.step(g.step)
 	need, n := step.Need(), len(g.indexes)
@@ -287,11 +281,16 @@
 		if p.earmarkForecast(g, step, pools, need, n) {
 			return nil
 		}
-		if orders := p.preemptForGang(g, step, pools, need, n); orders != nil {
-			return orders
-		}
-		p.noteVainSearch(g, d)
+		return p.contend(contender{group: g, demand: d, eligible: eligible, pools: pools})
 	}
+	return p.placeSpread(g, d, eligible, fitsWhenEmpty, maySearch)
+}
+
+// placeSpread goes on with a gang for which no pool has room: if it has SameRack, it is spread over racks after rackWait,
+// or at once when no rack could hold it even if empty.
+func (p *pass) placeSpread(g group, d demand, eligible []*worker, fitsWhenEmpty, maySearch bool) []Order {
+	step := g.job.step(g.step)
+	need, n := step.Need(), len(g.indexes)
 	if !step.SameRack {
 		p.noRoom[d] = true
 		return nil
@@ -308,10 +307,7 @@
 	}
 	p.noRoom[d] = true
 	if maySearch && !fitsWhenEmpty {
-		if orders := p.preemptForGang(g, step, [][]*worker{eligible}, need, n); orders != nil {
-			return orders
-		}
-		p.noteVainSearch(g, d)
+		return p.contend(contender{group: g, demand: d, eligible: eligible, pools: [][]*worker{eligible}, spread: true})
 	}
 	return nil
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -65,9 +65,11 @@
 			c.planBy(now)
 			break
 		}
+		orders = append(orders, p.resolveBefore(g)...)
 		c.currentJob = g.job.id()
 		orders = append(orders, p.place(g)...)
 	}
+	orders = append(orders, p.resolve()...)
 	p.rotateSearches()
 	return orders
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -71,6 +71,9 @@
 	// Discarded is called with the core-seconds of unsaved work that an attempt loses as it ends, and the cause; it may be
 	// nil.
 	Discarded func(cause string, coreSeconds float64)
+	// Contended is called with the outcome of each search for work that may be stopped for an urgent group without room:
+	// "Preempted", "Awaited" if all of the room comes free by itself, or "Denied"; it may be nil.
+	Contended func(outcome string)
 
 	jobs map[descriptor.JobID]*job
 	// activeJobs holds the workloads that were not finished at the last plan or were added since, sorted by id.
--- a/internal/preempter/preempter.go
+++ b/internal/preempter/preempter.go
@@ -21,6 +21,9 @@
 	maxShared = 4
 	// maxEvaluations bounds the sets of multi-worker units that are evaluated for one demand and pool.
 	maxEvaluations = 64
+	// maxSteps bounds the product of these evaluations, the workers of the pool and the tasks of the demand. A demand for
+	// which a single evaluation exceeds it takes the cheapest units first.
+	maxSteps = 60_000
 	// maxStates bounds the sums of freed capacity that are tracked for one worker.
 	maxStates = 128
 	// maxOwnUnits bounds the single-worker units of one worker that are considered, the cheapest first.
@@ -237,7 +240,7 @@
 	free  []descriptor.Capacity
 	units []Unit
 	// spent marks the units that are to be stopped or awaited.
-	spent []bool
+	spent   []bool
 	variant variant
 	// first holds units that are stopped already, on behalf of the next demand that is served.
 	first []int
--- a/internal/preempter/search.go
+++ b/internal/preempter/search.go
@@ -11,11 +11,14 @@
 
 // solve returns the cheapest set of units found that makes room for the demand on the pool.
 func solve(p *problem) (solution, bool) {
+	if p.demand.Count*len(p.workers) > maxSteps {
+		return solveCheapestFirst(p)
+	}
 	best, found := p.evaluate(nil)
 	var bestWide []int
-	evaluations := 1
+	evaluations, limit := 1, min(maxEvaluations, maxSteps/(p.demand.Count*len(p.workers)))
 	try := func(wide []int) bool {
-		if evaluations >= maxEvaluations {
+		if evaluations >= limit {
 			return false
 		}
 		evaluations++
@@ -35,7 +38,7 @@
 	if !found {
 		return solution{}, false
 	}
-	if 1<<len(p.wide) <= maxEvaluations {
+	if 1<<len(p.wide) <= limit {
 		for set := 1; set < 1<<len(p.wide); set++ {
 			try(p.wideSubset(set))
 		}
@@ -49,7 +52,7 @@
 				improved = try(toggled(bestWide, u)) || improved
 			}
 		}
-		improved = improved && evaluations < maxEvaluations
+		improved = improved && evaluations < limit
 	}
 	return best, true
 }
@@ -83,51 +86,68 @@
 			freed[m.Worker] = freed[m.Worker].Plus(m.Need)
 		}
 	}
-	n := p.demand.Count
-	// costs[k] is the least cost of room for k tasks, n meaning at least n, on the workers so far; taken[i][k] is the
-	// number of them on worker i.
-	costs := make([]float64, n+1)
+	missing := p.demand.Count
+	tables := make([]table, len(p.workers))
+	for i, w := range p.workers {
+		tables[i] = p.tableOf(w, freed[w])
+		missing -= tables[i].fitting
+	}
+	if missing <= 0 {
+		return total, true
+	}
+	// costs[k] is the least cost of room for k more tasks, missing meaning at least as many, on the workers so far;
+	// taken[i][k] is the number of the step on worker i plus one, or 0.
+	costs := make([]float64, missing+1)
 	for k := range costs[1:] {
 		costs[k+1] = math.Inf(1)
 	}
 	taken := make([][]int, len(p.workers))
-	for i, w := range p.workers {
-		t := p.tableOf(w, freed[w])
-		taken[i] = make([]int, n+1)
-		for k := n; k > 0; k-- {
-			for own := 1; own < len(t.costs); own++ {
-				if c := costs[max(0, k-own)] + t.costs[own]; c < costs[k] {
-					costs[k], taken[i][k] = c, own
+	for i, t := range tables {
+		if len(t.steps) == 0 {
+			continue
+		}
+		taken[i] = make([]int, missing+1)
+		for k := missing; k > 0; k-- {
+			for x, st := range t.steps {
+				if c := costs[max(0, k-st.tasks)] + st.cost; c < costs[k] {
+					costs[k], taken[i][k] = c, x+1
 				}
 			}
 		}
 	}
-	if math.IsInf(costs[n], 1) {
+	if math.IsInf(costs[missing], 1) {
 		return solution{}, false
 	}
-	for i, k := len(p.workers)-1, n; i >= 0 && k > 0; i-- {
-		own := taken[i][k]
-		if own == 0 {
+	for i, k := len(p.workers)-1, missing; i >= 0 && k > 0; i-- {
+		if len(tables[i].steps) == 0 || taken[i][k] == 0 {
 			continue
 		}
-		w := p.workers[i]
-		t := p.tableOf(w, freed[w])
-		for x, u := range p.own[w] {
-			if t.sets[own]>>x&1 == 1 {
+		st := tables[i].steps[taken[i][k]-1]
+		for x, u := range p.own[p.workers[i]] {
+			if st.set>>x&1 == 1 {
 				total.stop = append(total.stop, u)
 				total.cost += p.units[u].Cost
 			}
 		}
-		k = max(0, k-own)
+		k = max(0, k-st.tasks)
 	}
 	return total, true
 }
 
-// table holds, by number of tasks, the least cost of room for them on one worker, and the set of the worker's own units
-// to stop as bits.
+// table holds the ways to make room on one worker.
 type table struct {
-	costs []float64
-	sets  []uint64
+	// fitting is the number of tasks that fit without another stop.
+	fitting int
+	// steps are in the order of both their tasks and their costs.
+	steps []tableStep
+}
+
+// tableStep is the cheapest set of a worker's own units, as bits, that makes room for a number of tasks beyond those that
+// fit.
+type tableStep struct {
+	tasks int
+	cost  float64
+	set   uint64
 }
 
 type tableKey struct {
@@ -146,6 +166,20 @@
 	return t
 }
 
+// newTable builds the table of a worker.
+func (p *problem) newTable(w int, free descriptor.Capacity) table {
+	options := p.options(w, free)
+	t := table{fitting: free.CountFitting(p.demand.Need, p.limit())}
+	most := t.fitting
+	for _, o := range options {
+		if k := o.free.CountFitting(p.demand.Need, p.limit()); k > most {
+			most = k
+			t.steps = append(t.steps, tableStep{k - t.fitting, o.cost, o.set})
+		}
+	}
+	return t
+}
+
 // option is a set of a worker's own units, as bits, with its cost and the capacity that it leaves free.
 type option struct {
 	free descriptor.Capacity
@@ -153,28 +187,8 @@
 	set  uint64
 }
 
-// newTable builds the table of a worker from the cheapest set for each sum of freed capacity.
-func (p *problem) newTable(w int, free descriptor.Capacity) table {
-	limit := p.limit()
-	t := table{costs: make([]float64, 1, limit+1), sets: make([]uint64, 1, limit+1)}
-	add := func(o option) {
-		for k := o.free.CountFitting(p.demand.Need, limit); k > 0; k-- {
-			for len(t.costs) <= k {
-				t.costs, t.sets = append(t.costs, math.Inf(1)), append(t.sets, 0)
-			}
-			if o.cost < t.costs[k] {
-				t.costs[k], t.sets[k] = o.cost, o.set
-			}
-		}
-	}
-	for _, o := range p.options(w, free) {
-		add(o)
-	}
-	return t
-}
-
-// options returns the cheapest sets of a worker's own units, at most maxStates, one for each capacity left free. Sets
-// beyond the first that makes room for as many tasks as the limit allows are left out if they cost more.
+// options returns the cheapest sets of a worker's own units, at most maxStates, one for each capacity left free, the
+// cheapest first. Sets that make room for as many tasks as the limit allows are not extended.
 func (p *problem) options(w int, free descriptor.Capacity) []option {
 	options := []option{{free: free}}
 	if free.CountFitting(p.demand.Need, p.limit()) == p.limit() {
