--- a/internal/planner/contention_test.go
+++ b/internal/planner/contention_test.go
@@ -1,6 +1,9 @@
 package planner
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,14 +97,14 @@
 	assert.Equal(t, len(f.runningNodes("waiting")), 0)
 }
 
-// TestGangsShareVictim has two urgent gangs that arrive at once, each of which needs one worker, and a gang of two whose
-// stop makes room for both.
+// TestGangsShareVictim has two urgent gangs that arrive at once, each of which needs one worker. Stopping a task for each
+// of them loses more than stopping a younger gang of two, although one such task is cheaper than that gang.
 func TestGangsShareVictim(t *testing.T) {
 	f := newFixture(t, 2)
+	f.submit("singles", 4, 8, 60*time.Second, priority(2))
+	f.advance(time.Second)
 	f.submit("pair", 2, 8, 60*time.Second, priority(2), gang)
-	f.submit("singles", 4, 8, 60*time.Second, priority(1))
-	f.planAndApply()
-	f.advance(3 * time.Second)
+	f.advance(2 * time.Second)
 	f.submit("first", 1, 8, 20*time.Second, priority(0), gang)
 	f.submit("second", 1, 8, 20*time.Second, priority(0), gang)
 	f.advance(500 * time.Millisecond)
@@ -109,3 +112,22 @@
 	assert.Equal(t, f.stopsOf("pair"), 2)
 	assert.Equal(t, f.stopsOf("singles"), 0)
 }
+
+// TestSmallTasksLeaveRacksWhole has single tasks, each as large as a worker, on a fleet where neighbours in the order of
+// names are on different racks. The second must join the rack of the first, so that a gang for a rack starts at once.
+func TestSmallTasksLeaveRacksWhole(t *testing.T) {
+	f := newFixture(t, 2)
+	for i, node := range slices.Sorted(maps.Keys(f.status)) {
+		s := f.status[node]
+		s.Rack = descriptor.RackID(fmt.Sprintf("r%d", i%2))
+		f.status[node] = s
+	}
+	f.reportAll()
+	f.submit("first", 1, 8, 20*time.Second, priority(1))
+	f.advance(200 * time.Millisecond)
+	f.submit("second", 1, 8, 20*time.Second, priority(1))
+	f.advance(200 * time.Millisecond)
+	f.submit("gang", 3, 8, 20*time.Second, priority(1), sameRack)
+	f.advance(200 * time.Millisecond)
+	assert.DeepEqual(t, f.runningNodes("gang"), []string{"n01", "n03", "n05"})
+}
