--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,6 +28,7 @@
 	"slices"
 	"time"
 
+	"persimmontrail/internal/balancer"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -90,6 +91,8 @@
 	runTimes map[descriptor.QueueID]*runTimeStats
 	// workMeans holds the mean work in core-seconds of the workloads of each queue.
 	workMeans map[descriptor.QueueID]*meanWork
+	// service holds how well classes of work were served lately.
+	service balancer.Ledger
 	// reserve tracks how many accelerators to keep free for urgent work.
 	reserve reserve
 	// nextPlanAt is the earliest time at which a plan may differ without a new event; zero means never.
@@ -125,6 +128,10 @@
 	failedSteps map[int]bool
 	// gangEnds says why gangs of the workload ended that did not succeed.
 	gangEnds map[gangRun]discardCause
+	// classes caches the result of classesOf.
+	classes []balancer.Class
+	// recordedLate is the set of open occurrences that were recorded as not served, since they are tooLate.
+	recordedLate map[int]bool
 	// claim is the room freed for the workload by preemption; nil when there is none.
 	claim *claim
 	// preemptAfter is the earliest time for the next search for attempts that a gang of the workload may preempt.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -513,7 +513,7 @@
 		}
 	}
 	// The next plan stops a newer attempt.
-	c.completeOccurrence(j, e.Task.Occurrence)
+	c.completeOccurrence(j, e.Task.Occurrence, now)
 }
 
 // takeGivenUp removes an attempt from GivenUp, with all other members of its gang, and reports whether it was there.
@@ -561,16 +561,17 @@
 	j.progress.GivenUp = slices.DeleteFunc(j.progress.GivenUp, func(o TaskAttempt) bool {
 		return j.taskDone(descriptor.TaskID{Job: j.id(), Occurrence: o.Occurrence, Step: o.Step, Index: o.Index})
 	})
-	c.completeOccurrence(j, e.Task.Occurrence)
+	c.completeOccurrence(j, e.Task.Occurrence, now)
 }
 
 // completeOccurrence marks occurrence k as done when all of its steps are, and the workload when all occurrences are.
-func (c *Core) completeOccurrence(j *job, k int) {
+func (c *Core) completeOccurrence(j *job, k int, now time.Time) {
 	for s := range j.record.Workload.Steps {
 		if !j.stepDone(k, s) {
 			return
 		}
 	}
+	c.recordService(j, k, true, now)
 	*j.occurrence(k) = Occurrence{Done: true}
 	for s := range j.record.Workload.Steps {
 		delete(j.gangPresences, stepOf{k, s})
