--- a/internal/planner/contention_test.go
+++ b/internal/planner/contention_test.go
@@ -131,3 +131,33 @@
 	f.advance(200 * time.Millisecond)
 	assert.DeepEqual(t, f.runningNodes("gang"), []string{"n01", "n03", "n05"})
 }
+
+// TestPoorlyServedWorkspaceMovesUp has a full fleet on which the work of one workspace has come too late in a row while that
+// of another was in time. Of two equal workloads, that of the former then takes the next room.
+func TestPoorlyServedWorkspaceMovesUp(t *testing.T) {
+	f := newFixture(t, 1)
+	for i := range 6 {
+		id := descriptor.JobID(fmt.Sprintf("rich%d", i))
+		f.submit(id, 1, 1, time.Second, priority(1), workspace("rich"))
+		f.planAndApply()
+		f.advance(time.Second)
+		f.endAll(id, 1)
+	}
+	f.submit("full", 24, 1, 60*time.Second, priority(1), workspace("other"))
+	f.planAndApply()
+	for i := range 6 {
+		f.submit(descriptor.JobID(fmt.Sprintf("late%d", i)), 1, 1, time.Second, priority(1), workspace("poor"), func(w *descriptor.Workload) {
+			w.Accepted = f.now.Add(-10 * time.Second)
+		})
+	}
+	otherQueue := func(w *descriptor.Workload) { w.Queue = "other" }
+	f.submit("a", 1, 1, time.Second, priority(1), workspace("rich"), otherQueue)
+	f.submit("b", 1, 1, time.Second, priority(1), workspace("poor"), otherQueue)
+	f.planAndApply()
+	node, attempt := f.attemptOf("full", 0)
+	f.endAttempt(node, attempt, descriptor.OutcomeDone)
+	f.reportAll()
+	f.planAndApply()
+	assert.Equal(t, len(f.runningNodes("b")), 1)
+	assert.Equal(t, len(f.runningNodes("a")), 0)
+}
--- a/internal/planner/fairness.go
+++ b/internal/planner/fairness.go
@@ -26,13 +26,23 @@
 		}
 		queue := string(j.record.Workload.Queue)
 		j.classes = []balancer.Class{
-			{Kind: "Workspace", Name: string(j.record.Workload.Workspace)}, {Kind: "Queue", Name: queue},
+			{Kind: "Workspace", Name: string(j.record.Workload.Workspace)},
+			{Kind: "Queue", Name: queue},
 			{Kind: sizeClassNames[size], Name: queue},
 		}
 	}
 	return j.classes
 }
 
+// balancedValueDensity returns the valueDensity of a waiting occurrence, moved up if classes of the workload were served
+// far less than the whole lately. An occurrence that is tooLate counts as not served.
+func (c *Core) balancedValueDensity(j *job, k int, now time.Time) float64 {
+	if c.expectedLateness(j, k, now) == tooLate {
+		c.recordService(j, k, false, now)
+	}
+	return c.valueDensity(j, k, now) * c.service.Factor(c.classesOf(j), now)
+}
+
 // recordService records how occurrence k was served, at its end or when it is tooLate, whichever is first.
 func (c *Core) recordService(j *job, k int, done bool, now time.Time) {
 	if j.recordedLate[k] {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -312,7 +312,7 @@
 				continue
 			}
 			waiting = true
-			jobLevel, objective, valueDensity := level(j, withinGuarantee), c.objective(j, k), c.valueDensity(j, k, now)*c.service.Factor(c.classesOf(j), now)
+			jobLevel, objective, valueDensity := level(j, withinGuarantee), c.objective(j, k), c.balancedValueDensity(j, k, now)
 			for _, g := range ready {
 				g.level, g.objective, g.valueDensity, g.claim = jobLevel, objective, valueDensity, j.validClaim(k, g.step, now)
 				gs = append(gs, g)
--- a/internal/planner/value.go
+++ b/internal/planner/value.go
@@ -128,7 +128,6 @@
 	case late:
 		value *= lateValueFactor
 	case tooLate:
-		c.recordService(j, k, false, now)
 		value *= lateValueFactor * lateValueFactor * lateValueFactor
 	}
 	return value / left
