admitter: callers refused in an outage return spread, and never later than before

Cause: a delay that ends with the expected end of the outage brings back at one moment all who were refused in it. Change: the delay is up to 2 s shorter by chance, at least 1 s.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -210,6 +211,24 @@
 	assert.Equal(t, a.Serve(t.Context(), submitCall("j")).Code, CodeUnknown)
 }
 
+// TestRefusedCallersReturnSpread has an outage in which callers with a timeout of 15 s are refused all the time. They must
+// return neither later than the outage is expected to end, nor most of them at one moment, in whole seconds. Callers with a
+// timeout of 3 s have no time for more than the shortest delay.
+func TestRefusedCallersReturnSpread(t *testing.T) {
+	const callers = 2000
+	returns := map[time.Duration]int{}
+	for i := range callers {
+		since := time.Duration(i) * time.Second / callers
+		delay := retryDelay(since, 15*time.Second, rand.Float64())
+		assert.Assert(t, delay >= minRetryAfter && delay <= typicalOutage-since, "after %v: %v", since, delay)
+		returns[(since+delay).Truncate(500*time.Millisecond)]++
+		assert.Equal(t, retryDelay(since, 3*time.Second, rand.Float64()), minRetryAfter)
+	}
+	for at, n := range returns {
+		assert.Assert(t, n < callers/2, "%d of %d return at %v", n, callers, at)
+	}
+}
+
 // TestUnavailableStoreRefusesImmediately guards against a submission that is accepted, or waits for a second, or is
 // refused without a retry time, although its commit had no effect and there is no other entry.
 func TestUnavailableStoreRefusesImmediately(t *testing.T) {
--- a/internal/admitter/serve.go
+++ b/internal/admitter/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"persimmontrail/internal/archiver"
@@ -17,6 +18,9 @@
 	typicalOutage = 4 * time.Second
 	// minRetryAfter is the shortest retry delay that a refused caller is told.
 	minRetryAfter = time.Second
+	// retrySpread is how much shorter than the longest a retry delay may be. Callers that were refused at different moments
+	// of an outage would else all return when it is expected to end. It spans two of the whole seconds that callers are told.
+	retrySpread = 2 * time.Second
 	// retriesBeforeDeadline is the number of retries for which the caller's timeout must leave time: the retry delay is
 	// at most the timeout divided by it, unless that is below minRetryAfter. The cap is needed because some outages are
 	// shorter than typicalOutage.
@@ -131,7 +135,7 @@
 		r, servedBy = a.serveByPeers(ctx, c, r)
 	}
 	if r.Code == CodeRefused {
-		r.RetryAfter = max(min(typicalOutage-time.Since(a.Documents.Confirmed()), c.Timeout/retriesBeforeDeadline), minRetryAfter)
+		r.RetryAfter = retryDelay(time.Since(a.Documents.Confirmed()), c.Timeout, rand.Float64())
 	}
 	_, revision := a.Plan.Current()
 	r.Config = max(r.Config, revision)
@@ -143,6 +147,13 @@
 	return r
 }
 
+// retryDelay returns the retry delay of a refused caller by the time since the last contact with the store, the timeout of
+// the call, and a random number from 0 to 1.
+func retryDelay(sinceContact, timeout time.Duration, random float64) time.Duration {
+	longest := min(typicalOutage-sinceContact, timeout/retriesBeforeDeadline)
+	return max(longest-time.Duration(random*float64(retrySpread)), minRetryAfter)
+}
+
 // maxPlanChecks bounds how many times a call is checked against the configuration, which may change during the call.
 const maxPlanChecks = 6
 
