planner: awaited work is given up on at the time by which a stop would have made room

Cause: a gang that awaited a unit in vain kept its claim for StopGrace and 1.2 s, by far too long for urgent work. Change: a unit is awaited once, for as long as a preemption takes and the slack allows; then the gang asks again.

--- a/internal/planner/contention.go
+++ b/internal/planner/contention.go
@@ -94,7 +94,11 @@
 	orders := p.preempt(g, r.units, r.cost)
 	p.earmark(r.placement, g.job.step(g.step).Need())
 	p.addClaim(g, r.placement)
+	awaitedUntil := p.now.Add(p.maxForecast(g))
 	for _, u := range r.awaited {
+		for _, a := range u.attempts {
+			a.awaitedUntil = awaitedUntil
+		}
 		g.job.claim.awaited = append(g.job.claim.awaited, u.attempts...)
 		p.countAwaited(u.attempts)
 	}
@@ -229,12 +233,12 @@
 }
 
 // endsIn returns the time until the last attempt of a unit is expected to end, or 0 if that is not known: the progress
-// of an attempt that runs longer than was expected must show it.
+// of an attempt that runs longer than was expected must show it. A unit that was awaited in vain is not awaited again.
 func (p *pass) endsIn(u *stopUnit) time.Duration {
 	var longest time.Duration
 	for _, r := range u.attempts {
 		remaining := p.core.remainingRunTime(r, p.now)
-		if r.job.step(r.id.Task.Step).Service || remaining <= 0 && r.percent <= minProjectionPercent {
+		if !r.awaitedUntil.IsZero() || r.job.step(r.id.Task.Step).Service || remaining <= 0 && r.percent <= minProjectionPercent {
 			return 0
 		}
 		longest = max(longest, remaining, time.Millisecond)
@@ -245,9 +249,11 @@
 // countAwaited counts the room of attempts for which a claim waits as being released.
 func (p *pass) countAwaited(attempts []*attempt) {
 	for _, r := range attempts {
-		if _, ok := p.releasing[r.worker]; !ok || p.awaited[r] || r.stopping || r.worker.attempts[r.id] != r {
+		_, usable := p.releasing[r.worker]
+		if !usable || p.awaited[r] || r.stopping || r.worker.attempts[r.id] != r || !p.now.Before(r.awaitedUntil) {
 			continue
 		}
+		p.core.planBy(r.awaitedUntil)
 		if p.awaited == nil {
 			p.awaited = map[*attempt]bool{}
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -181,6 +181,8 @@
 	stopCause discardCause
 	// stopOrderedAt is when a stop was last ordered.
 	stopOrderedAt time.Time
+	// awaitedUntil is the time until which a claim waits for the attempt to end by itself; zero if none does.
+	awaitedUntil time.Time
 	// stopAnswered is the worker clock at which the worker answered a stop; after it, a delayed start of the attempt
 	// is refused. Zero means no answer.
 	stopAnswered descriptor.WorkerClock
