balancer: workspaces among all, sizes within their queue, and at most half as much again

Cause: balanced against all work, queues with tight objectives always looked ill served, and took room from worth more. Change: a class is compared with the larger set that it belongs to; queues are not balanced; the factor is at most 1.5.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,5 +1,5 @@
 // Package balancer keeps account of how much of the recent work of each class was served in time, and moves classes up
-// that are served far less than the whole. It decides nothing while all work can be served, since order does not matter
+// that are served far less than the larger set they belong to. It decides nothing while all work can be served, since order does not matter
 // then.
 package balancer
 
@@ -12,24 +12,31 @@
 const (
 	// decayTime is the time constant with which what was served is forgotten.
 	decayTime = 30 * time.Second
-	// minEvidence is the decayed number of outcomes from which the share of a class means something.
+	// minEvidence is the decayed number of outcomes from which the share of a class counts.
 	minEvidence = 3
-	// tolerance is how far the share of a class may lie below that of the whole without effect; fullEffect is how much
+	// tolerance is how far the share of a class may lie below that of the larger set without effect; fullEffect is how much
 	// further it must lie to be moved up by maxFactor.
 	tolerance  = 0.1
 	fullEffect = 0.2
 	// maxFactor is the largest factor on the value of work for its order.
-	maxFactor = 2.0
+	maxFactor = 1.5
 	// maxClasses bounds the classes that are kept. Beyond it those with the least evidence are dropped.
 	maxClasses = 4096
 )
 
-// Class is a set of work that should be served like other work, such as that of one workspace.
+// Class is a set of work that should be served like the work of a larger set.
 type Class struct {
 	Kind string
 	Name string
 }
 
+// Membership places a piece of work in a class. The class should be served like Within, or like all work if Within is the
+// zero Class.
+type Membership struct {
+	Class  Class
+	Within Class
+}
+
 // Ledger holds the accounts of all classes. The zero value is ready for use. It is not safe for concurrent use.
 type Ledger struct {
 	total    account
@@ -60,15 +67,19 @@
 
 func (a account) share() float64 { return a.served / a.expected }
 
-// Record adds the outcome of a piece of work to its classes. The served share is 1 for work served in time and 0 for work
+// Record adds the outcome of a piece of work to the accounts of its classes and of the sets that these lie in. The served share is 1 for work served in time and 0 for work
 // that is of no use any more.
-func (l *Ledger) Record(classes []Class, served float64, now time.Time) {
+func (l *Ledger) Record(memberships []Membership, served float64, now time.Time) {
 	l.total = l.total.at(now).plus(served)
 	if l.accounts == nil {
 		l.accounts = map[Class]account{}
 	}
-	for _, c := range classes {
-		l.accounts[c] = l.accounts[c].at(now).plus(served)
+	add := func(c Class) { l.accounts[c] = l.accounts[c].at(now).plus(served) }
+	for _, m := range memberships {
+		add(m.Class)
+		if m.Within != (Class{}) {
+			add(m.Within)
+		}
 	}
 	for least := 0.01; len(l.accounts) > maxClasses; least *= 2 {
 		maps.DeleteFunc(l.accounts, func(_ Class, a account) bool { return a.at(now).expected < least })
@@ -77,18 +88,17 @@
 
 // Factor returns the factor on the value of waiting work for its order, from 1 to maxFactor, by the worst served of its
 // classes.
-func (l *Ledger) Factor(classes []Class, now time.Time) float64 {
-	total := l.total.at(now)
-	if total.expected < minEvidence {
-		return 1
-	}
+func (l *Ledger) Factor(memberships []Membership, now time.Time) float64 {
 	factor := 1.0
-	for _, c := range classes {
-		a := l.accounts[c].at(now)
-		if a.expected < minEvidence {
+	for _, m := range memberships {
+		class, within := l.accounts[m.Class].at(now), l.total.at(now)
+		if m.Within != (Class{}) {
+			within = l.accounts[m.Within].at(now)
+		}
+		if class.expected < minEvidence {
 			continue
 		}
-		deficit := (total.share() - a.share() - tolerance) / fullEffect
+		deficit := (within.share() - class.share() - tolerance) / fullEffect
 		factor = max(factor, 1+(maxFactor-1)*min(deficit, 1))
 	}
 	return factor
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -8,7 +8,9 @@
 	"gotest.tools/v3/assert"
 )
 
-func workspace(name string) []Class { return []Class{{Kind: "Workspace", Name: name}} }
+func workspace(name string) []Membership {
+	return []Membership{{Class: Class{Kind: "Workspace", Name: name}}}
+}
 
 // TestFactorByDeficit has a rush in which one workspace of three is served far less than the others. It is moved up by at
 // most maxFactor, until that is forgotten. A rush that all bear alike moves nobody up.
--- a/internal/planner/fairness.go
+++ b/internal/planner/fairness.go
@@ -15,9 +15,9 @@
 
 var sizeClassNames = []string{"Small", "Medium", "Large"}
 
-// classesOf returns the classes by which the service of a workload is balanced: its workspace, its queue, and its size
-// within the queue.
-func (c *Core) classesOf(j *job) []balancer.Class {
+// classesOf returns the classes by which the service of a workload is balanced: its workspace, among all, and its size
+// within its queue. Queues are not balanced against one another, since their value differs.
+func (c *Core) classesOf(j *job) []balancer.Membership {
 	if j.classes == nil {
 		total, _ := c.work(j, 0)
 		size := 0
@@ -25,17 +25,16 @@
 			size++
 		}
 		queue := string(j.record.Workload.Queue)
-		j.classes = []balancer.Class{
-			{Kind: "Workspace", Name: string(j.record.Workload.Workspace)},
-			{Kind: "Queue", Name: queue},
-			{Kind: sizeClassNames[size], Name: queue},
+		j.classes = []balancer.Membership{
+			{Class: balancer.Class{Kind: "Workspace", Name: string(j.record.Workload.Workspace)}},
+			{Class: balancer.Class{Kind: sizeClassNames[size], Name: queue}, Within: balancer.Class{Kind: "Queue", Name: queue}},
 		}
 	}
 	return j.classes
 }
 
 // balancedValueDensity returns the valueDensity of a waiting occurrence, moved up if classes of the workload were served
-// far less than the whole lately. An occurrence that is tooLate counts as not served.
+// far less than others lately. An occurrence that is tooLate counts as not served.
 func (c *Core) balancedValueDensity(j *job, k int, now time.Time) float64 {
 	if c.expectedLateness(j, k, now) == tooLate {
 		c.recordService(j, k, false, now)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -129,7 +129,7 @@
 	// gangEnds says why gangs of the workload ended that did not succeed.
 	gangEnds map[gangRun]discardCause
 	// classes caches the result of classesOf.
-	classes []balancer.Class
+	classes []balancer.Membership
 	// recordedLate is the set of open occurrences that were recorded as not served, since they are tooLate.
 	recordedLate map[int]bool
 	// claim is the room freed for the workload by preemption; nil when there is none.
