preempter: tables of a worker are shared between the ways to solve several gangs, and their work is bounded

Change: dominated sets are dropped, at most 32 are kept, tables are cached, work beyond 10,000 steps tries no other way.

--- a/internal/preempter/preempter.go
+++ b/internal/preempter/preempter.go
@@ -25,11 +25,15 @@
 	// which a single evaluation exceeds it takes the cheapest units first.
 	maxSteps = 60_000
 	// maxStates bounds the sums of freed capacity that are tracked for one worker.
-	maxStates = 128
+	maxStates = 32
 	// maxOwnUnits bounds the single-worker units of one worker that are considered, the cheapest first.
 	maxOwnUnits = 64
 )
 
+// maxWork bounds the work, in sets of one worker's units and in steps over a worker, after which no further variant is
+// tried for several demands.
+const maxWork = 10_000
+
 // Worker is a worker with the capacity that is free on it. A negative capacity is promised to others.
 type Worker struct {
 	Free descriptor.Capacity
@@ -100,24 +104,33 @@
 // Choose returns a choice for each demand. Demands must be sorted by importance, with the guaranteed ones first. A unit
 // is stopped for at most one demand; the room that is left of it serves the demands that are placed after.
 func Choose(workers []Worker, units []Unit, demands []Demand) []Choice {
+	return newScene(workers, units).choose(demands)
+}
+
+// choose tries the variants of solving the demands.
+func (sc *scene) choose(demands []Demand) []Choice {
 	given := variant{order: identity(len(demands)), first: noUnit, solver: solve}
-	best := chooseInOrder(workers, units, demands, given)
+	best := sc.chooseInOrder(demands, given)
 	if len(demands) < 2 {
 		return best
 	}
 	try := func(v variant) {
-		if choices := chooseInOrder(workers, units, demands, v); better(demands, choices, best) {
+		if sc.work > maxWork {
+			return
+		}
+		if choices := sc.chooseInOrder(demands, v); better(demands, choices, best) {
 			best = choices
 		}
 	}
+	// The earlier algorithm is cheap and goes first, so that the result is never worse than that.
+	try(variant{order: given.order, first: noUnit, solver: solveCheapestFirst})
 	for _, order := range orders(demands) {
 		try(variant{order: order, first: noUnit, solver: solve})
 		try(variant{order: order, first: noUnit, solver: solve, narrowFirst: true})
 	}
-	for _, u := range sharedUnits(units, demands) {
+	for _, u := range sharedUnits(sc.units, demands) {
 		try(variant{order: given.order, first: u, solver: solve})
 	}
-	try(variant{order: given.order, first: noUnit, solver: solveCheapestFirst})
 	return best
 }
 
@@ -196,20 +209,49 @@
 	return cmp.Or(cmp.Compare(guaranteedA, guaranteedB), cmp.Compare(servedA, servedB), cmp.Compare(costB, costA)) > 0
 }
 
+// scene holds what stays the same while the variants are tried.
+type scene struct {
+	workers []Worker
+	units   []Unit
+	// unitsOn holds, for each worker, the units with a member there, the cheapest first.
+	unitsOn [][]int
+	// tables caches the ways to make room on single workers.
+	tables map[tableKey]table
+	// work counts what was done, for maxWork.
+	work int
+}
+
+func newScene(workers []Worker, units []Unit) *scene {
+	sc := &scene{workers: workers, units: units, unitsOn: make([][]int, len(workers)), tables: map[tableKey]table{}}
+	for i, u := range units {
+		for _, m := range u.Members {
+			sc.unitsOn[m.Worker] = append(sc.unitsOn[m.Worker], i)
+		}
+	}
+	for _, on := range sc.unitsOn {
+		slices.SortFunc(on, sc.byCost)
+	}
+	return sc
+}
+
+func (sc *scene) byCost(a, b int) int {
+	return cmp.Or(cmp.Compare(sc.units[a].Cost, sc.units[b].Cost), cmp.Compare(a, b))
+}
+
 // problem is the search for one demand on one pool.
 type problem struct {
+	scene  *scene
 	demand *Demand
 	units  []Unit
 	// workers are the indexes of the workers of the pool.
 	workers []int
 	// free holds the free capacity of all workers, with that of the units that are awaited.
 	free []descriptor.Capacity
-	// own holds, for each worker of the pool, the units that run on it alone, the cheapest first.
-	own map[int][]int
+	// own holds, for each worker of the pool, the units that run on it alone, the cheapest first; ownKey identifies them.
+	own    map[int][]int
+	ownKey map[int]uint64
 	// wide holds the units that span workers and of which a member is in the pool, the cheapest first.
 	wide []int
-	// tables caches the costs by worker and capacity freed by wide units.
-	tables map[tableKey]table
 }
 
 // solution is a set of units to stop for one demand, with its cost.
@@ -219,9 +261,11 @@
 }
 
 // chooseInOrder solves the demands one after the other. What one takes or frees counts for those after it.
-func chooseInOrder(workers []Worker, units []Unit, demands []Demand, v variant) []Choice {
-	s := state{free: make([]descriptor.Capacity, len(workers)), units: units, spent: make([]bool, len(units)), variant: v}
-	for i, w := range workers {
+func (sc *scene) chooseInOrder(demands []Demand, v variant) []Choice {
+	s := state{
+		scene: sc, free: make([]descriptor.Capacity, len(sc.workers)), units: sc.units, spent: make([]bool, len(sc.units)), variant: v,
+	}
+	for i, w := range sc.workers {
 		s.free[i] = w.Free
 	}
 	choices := make([]Choice, len(demands))
@@ -237,6 +281,7 @@
 
 // state is what is left to assign while the demands are solved.
 type state struct {
+	scene *scene
 	free  []descriptor.Capacity
 	units []Unit
 	// spent marks the units that are to be stopped or awaited.
@@ -288,34 +333,32 @@
 }
 
 func (s *state) newProblem(d *Demand, pool []int) *problem {
-	p := &problem{demand: d, units: s.units, workers: pool, free: slices.Clone(s.free), own: map[int][]int{}, tables: map[tableKey]table{}}
-	inPool := make([]bool, len(s.free))
-	for _, w := range pool {
-		inPool[w] = true
+	p := &problem{
+		scene: s.scene, demand: d, units: s.units, workers: pool, free: slices.Clone(s.free),
+		own: make(map[int][]int, len(pool)), ownKey: make(map[int]uint64, len(pool)),
 	}
-	for i := range s.units {
-		u := &s.units[i]
-		switch {
-		case s.spent[i]:
-		case s.endsInTime(d, i):
-			for _, m := range u.Members {
-				p.free[m.Worker] = p.free[m.Worker].Plus(m.Need)
-			}
-		case !mayStop(d, u):
-		case len(u.Members) == 1:
-			if w := u.Members[0].Worker; inPool[w] {
+	for _, w := range pool {
+		for x, i := range s.scene.unitsOn[w] {
+			u := &s.units[i]
+			switch {
+			case s.spent[i]:
+			case s.endsInTime(d, i):
+				for _, m := range u.Members {
+					if m.Worker == w {
+						p.free[w] = p.free[w].Plus(m.Need)
+					}
+				}
+			case !mayStop(d, u):
+			case len(u.Members) > 1:
+				p.wide = append(p.wide, i)
+			case x < maxOwnUnits:
 				p.own[w] = append(p.own[w], i)
+				p.ownKey[w] |= 1 << x
 			}
-		case slices.ContainsFunc(u.Members, func(m Member) bool { return inPool[m.Worker] }):
-			p.wide = append(p.wide, i)
 		}
 	}
-	byCost := func(a, b int) int { return cmp.Or(cmp.Compare(s.units[a].Cost, s.units[b].Cost), cmp.Compare(a, b)) }
-	slices.SortFunc(p.wide, byCost)
-	for w, own := range p.own {
-		slices.SortFunc(own, byCost)
-		p.own[w] = own[:min(len(own), maxOwnUnits)]
-	}
+	slices.SortFunc(p.wide, s.scene.byCost)
+	p.wide = slices.Compact(p.wide)
 	return p
 }
 
--- a/internal/preempter/preempter_test.go
+++ b/internal/preempter/preempter_test.go
@@ -149,8 +149,8 @@
 // maxExcess is how many times the cheapest sets the choices for two gangs may cost, over all seeds.
 const maxExcess = 1.05
 
-// scene is a full rack with two gangs that arrive at once.
-type scene struct {
+// rushScene is a full rack with two gangs that arrive at once.
+type rushScene struct {
 	workers []Worker
 	units   []Unit
 	demands []Demand
@@ -159,15 +159,15 @@
 // TestJointChoice compares the choices for two gangs that arrive at once with all sets of units, over the seeds of 2,000
 // full racks, and each of them with the earlier algorithm, which serves one gang after the other.
 func TestJointChoice(t *testing.T) {
-	scenes := rapid.Custom(func(t *rapid.T) scene {
+	scenes := rapid.Custom(func(t *rapid.T) rushScene {
 		workers, units, pool := drawPool(t)
-		return scene{workers, units, []Demand{drawDemand(t, pool), drawDemand(t, pool)}}
+		return rushScene{workers, units, []Demand{drawDemand(t, pool), drawDemand(t, pool)}}
 	})
 	cost, best := 0.0, 0.0
 	for seed := range 2000 {
 		s := scenes.Example(seed)
 		choices := Choose(s.workers, s.units, s.demands)
-		earlier := chooseInOrder(s.workers, s.units, s.demands,
+		earlier := newScene(s.workers, s.units).chooseInOrder(s.demands,
 			variant{order: identity(len(s.demands)), first: noUnit, solver: solveCheapestFirst})
 		assert.Assert(t, !better(s.demands, earlier, choices))
 		checkRoom(t, s.workers, s.units, s.demands, choices)
--- a/internal/preempter/search.go
+++ b/internal/preempter/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 
@@ -18,7 +17,7 @@
 	var bestWide []int
 	evaluations, limit := 1, min(maxEvaluations, maxSteps/(p.demand.Count*len(p.workers)))
 	try := func(wide []int) bool {
-		if evaluations >= limit {
+		if evaluations >= limit || found && p.cost(wide) >= best.cost {
 			return false
 		}
 		evaluations++
@@ -57,6 +56,14 @@
 	return best, true
 }
 
+func (p *problem) cost(units []int) float64 {
+	sum := 0.0
+	for _, u := range units {
+		sum += p.units[u].Cost
+	}
+	return sum
+}
+
 func (p *problem) wideSubset(set int) []int {
 	var subset []int
 	for i, u := range p.wide {
@@ -78,14 +85,14 @@
 // evaluate returns the cheapest set that consists of the given wide units and any single-worker units. It reports false
 // when no such set makes enough room.
 func (p *problem) evaluate(wide []int) (solution, bool) {
-	total := solution{stop: slices.Clone(wide)}
+	total := solution{stop: slices.Clone(wide), cost: p.cost(wide)}
 	freed := map[int]descriptor.Capacity{}
 	for _, u := range wide {
-		total.cost += p.units[u].Cost
 		for _, m := range p.units[u].Members {
 			freed[m.Worker] = freed[m.Worker].Plus(m.Need)
 		}
 	}
+	p.scene.work += len(p.workers)
 	missing := p.demand.Count
 	tables := make([]table, len(p.workers))
 	for i, w := range p.workers {
@@ -107,6 +114,7 @@
 			continue
 		}
 		taken[i] = make([]int, missing+1)
+		p.scene.work += missing * len(t.steps) / 8
 		for k := missing; k > 0; k-- {
 			for x, st := range t.steps {
 				if c := costs[max(0, k-st.tasks)] + st.cost; c < costs[k] {
@@ -150,19 +158,23 @@
 	set   uint64
 }
 
+// tableKey holds all on which a table depends.
 type tableKey struct {
 	worker int
-	freed  descriptor.Capacity
+	free   descriptor.Capacity
+	own    uint64
+	need   descriptor.Capacity
+	limit  int
 }
 
 // tableOf returns the table of a worker on which wide units free the given capacity.
 func (p *problem) tableOf(w int, freed descriptor.Capacity) table {
-	key := tableKey{w, freed}
-	if t, ok := p.tables[key]; ok {
+	key := tableKey{w, p.free[w].Plus(freed), p.ownKey[w], p.demand.Need, p.limit()}
+	if t, ok := p.scene.tables[key]; ok {
 		return t
 	}
-	t := p.newTable(w, p.free[w].Plus(freed))
-	p.tables[key] = t
+	t := p.newTable(w, key.free)
+	p.scene.tables[key] = t
 	return t
 }
 
@@ -187,39 +199,63 @@
 	set  uint64
 }
 
-// options returns the cheapest sets of a worker's own units, at most maxStates, one for each capacity left free, the
-// cheapest first. Sets that make room for as many tasks as the limit allows are not extended.
+// options returns the cheapest sets of a worker's own units, the cheapest first, without those that leave no more free
+// than a cheaper one in any resource. Sets that make room for as many tasks as the limit allows are not extended. Beyond
+// maxStates the most expensive ones are left out, except for the last.
 func (p *problem) options(w int, free descriptor.Capacity) []option {
 	options := []option{{free: free}}
-	if free.CountFitting(p.demand.Need, p.limit()) == p.limit() {
+	if p.full(free) {
 		return options
 	}
 	for x, u := range p.own[w] {
-		byFree := make(map[descriptor.Capacity]option, 2*len(options))
-		for _, o := range options {
-			byFree[o.free] = o
-		}
+		need, cost := p.units[u].Members[0].Need, p.units[u].Cost
+		extended := make([]option, 0, len(options))
 		for _, o := range options {
-			if o.free.CountFitting(p.demand.Need, p.limit()) == p.limit() {
-				continue
-			}
-			next := option{o.free.Plus(p.units[u].Members[0].Need), o.cost + p.units[u].Cost, o.set | 1<<x}
-			if old, ok := byFree[next.free]; !ok || next.cost < old.cost {
-				byFree[next.free] = next
+			if !p.full(o.free) {
+				extended = append(extended, option{o.free.Plus(need), o.cost + cost, o.set | 1<<x})
 			}
 		}
-		options = slices.SortedFunc(maps.Values(byFree), func(a, b option) int {
-			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.set, b.set))
-		})
-		options = options[:min(len(options), maxStates)]
+		p.scene.work += len(extended)
+		options = mergeOptions(options, extended)
+		if n := len(options); n > maxStates {
+			options = append(options[:maxStates-1], options[n-1])
+		}
 	}
 	return options
 }
 
+// full reports whether as many tasks as the limit allows fit into a capacity.
+func (p *problem) full(free descriptor.Capacity) bool {
+	return free.CountFitting(p.demand.Need, p.limit()) == p.limit()
+}
+
+// mergeOptions merges two lists in the order of cost, without the options that are dominated by an earlier one.
+func mergeOptions(a, b []option) []option {
+	merged := make([]option, 0, len(a)+len(b))
+	for len(a) > 0 || len(b) > 0 {
+		from := &a
+		if len(a) == 0 || len(b) > 0 && b[0].cost < a[0].cost {
+			from = &b
+		}
+		o := (*from)[0]
+		*from = (*from)[1:]
+		if !slices.ContainsFunc(merged, func(m option) bool { return covers(m.free, o.free) }) {
+			merged = append(merged, o)
+		}
+	}
+	return merged
+}
+
+// covers reports whether a is at least b in each resource.
+func covers(a, b descriptor.Capacity) bool {
+	return a.Cores >= b.Cores && a.Memory >= b.Memory && a.Accelerators >= b.Accelerators
+}
+
 // solveCheapestFirst takes units, the cheapest first over the whole pool, until the demand fits, and then drops those
 // that are not needed, the most expensive first.
 func solveCheapestFirst(p *problem) (solution, bool) {
 	free := slices.Clone(p.free)
+	p.scene.work += len(p.workers)
 	fits := func() bool {
 		sum := 0
 		for _, w := range p.workers {
@@ -259,8 +295,6 @@
 		}
 		add(u, 1)
 	}
-	for _, u := range s.stop {
-		s.cost += p.units[u].Cost
-	}
+	s.cost = p.cost(s.stop)
 	return s, true
 }
