planner: no preference for racks in use among equally full workers

Cause: the preference puts less urgent tasks on racks where urgent gangs run and soon leave, which splits these racks.

--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -51,8 +51,6 @@
 	fleetIndex map[*worker]int
 	// awaited holds the attempts whose room counts as being released although they are not stopped.
 	awaited map[*attempt]bool
-	// rackRoom caches the results of roomOnRack until the next start on the rack.
-	rackRoom map[descriptor.RackID]float64
 	// reservedWorkers are kept free for urgent work and service tasks.
 	reservedWorkers map[*worker]bool
 	// reserveEnforced is true when other work may not use reservedWorkers, however long it waits.
@@ -77,7 +75,6 @@
 	p.withinGuarantee, p.candidateCache = c.jobsWithinGuarantee(), map[candidateKey]*candidates{}
 	p.searchLimit = min(max(searchedAttempts/max(attempts, 1), minSearches), maxSearches)
 	p.noRoom, p.searches, p.stepCounts = map[demand]bool{}, map[*job]*searches{}, map[*worker]map[jobStep]int{}
-	p.rackRoom = map[descriptor.RackID]float64{}
 	p.reservedWorkers, p.reserveEnforced = p.selectReserved(), p.fleetBusy()
 	p.countAllAwaited()
 	return p
@@ -176,8 +173,7 @@
 	return p.bestFit(g, step, eligible, need)
 }
 
-// bestFit returns the worker with the least room left over after one more task, and among equal ones that on the rack with
-// the least room, so that other racks stay whole for gangs; nil when the task fits on none.
+// bestFit returns the worker with the least room left over after one more task; nil when the task fits on none.
 func (p *pass) bestFit(g group, step *descriptor.Step, pool []*worker, need descriptor.Capacity) *worker {
 	var best *worker
 	var bestLeft float64
@@ -186,28 +182,13 @@
 			continue
 		}
 		left := freeFractionSum(p.room[w].Minus(need), w.status.Capacity)
-		if best == nil || left < bestLeft || left == bestLeft && p.roomOnRack(w) < p.roomOnRack(best) {
+		if best == nil || left < bestLeft {
 			best, bestLeft = w, left
 		}
 	}
 	return best
 }
 
-// roomOnRack returns the sum of the freeFractionSum of all workers on the rack of w.
-func (p *pass) roomOnRack(w *worker) float64 {
-	rack := w.status.Rack
-	room, ok := p.rackRoom[rack]
-	if !ok {
-		for _, o := range p.fleet {
-			if o.status.Rack == rack {
-				room += freeFractionSum(p.room[o], o.status.Capacity)
-			}
-		}
-		p.rackRoom[rack] = room
-	}
-	return room
-}
-
 // atTaskLimit reports whether w has reached the step's MaxPerWorker for the occurrence of g.
 func (p *pass) atTaskLimit(g group, step *descriptor.Step, w *worker) bool {
 	if step.MaxPerWorker == 0 {
@@ -488,7 +469,6 @@
 		r := c.addAttempt(j, id, t, w, p.now)
 		r.startDeadline = noStartDeadline
 		p.room[w] = p.room[w].Minus(r.need)
-		delete(p.rackRoom, w.status.Rack)
 		if counts := p.stepCounts[w]; counts != nil {
 			counts[jobStep{j.id(), g.occurrence, g.step}]++
 		}
