--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -16,9 +16,7 @@
 	occurrence int
 	step       int
 	// workers has one entry for each task that has claimed room, so a worker may appear several times.
-	workers []*worker
-	// awaited holds the attempts that are expected to end by themselves and whose room is part of the claim.
-	awaited   []*attempt
+	workers   []*worker
 	expiresAt time.Time
 }
 
--- a/internal/planner/contention.go
+++ b/internal/planner/contention.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"persimmontrail/internal/preempter"
 )
@@ -43,7 +42,7 @@
 	return p.resolve()
 }
 
-// resolve chooses whom to stop for the contenders, and whom to wait for, and claims the room.
+// resolve chooses whom to stop for the contenders, and claims the room.
 func (p *pass) resolve() []Order {
 	contenders := p.contenders
 	p.contenders = nil
@@ -64,7 +63,7 @@
 			continue
 		}
 		p.core.logEvent("room found for urgent gang", c.group.job.id(), "step", c.group.step, "level", c.group.level,
-			"tasks", len(c.group.indexes), "contenders", len(contenders), "stopped", len(r.units), "awaited", len(r.awaited),
+			"tasks", len(c.group.indexes), "contenders", len(contenders), "stopped", len(r.units),
 			"cost", math.Round(r.cost))
 		orders = append(orders, p.take(c.group, r)...)
 	}
@@ -74,7 +73,6 @@
 // Outcomes of a search for victims, as labels of the metric.
 const (
 	contentionPreempted = "Preempted"
-	contentionAwaited   = "Awaited"
 	contentionDenied    = "Denied"
 )
 
@@ -86,22 +84,10 @@
 
 // take stops the units of a ruling and claims the room for the group.
 func (p *pass) take(g group, r ruling) []Order {
-	if len(r.units) > 0 {
-		p.core.noteContention(contentionPreempted)
-	} else {
-		p.core.noteContention(contentionAwaited)
-	}
+	p.core.noteContention(contentionPreempted)
 	orders := p.preempt(g, r.units, r.cost)
 	p.earmark(r.placement, g.job.step(g.step).Need())
 	p.addClaim(g, r.placement)
-	awaitedUntil := p.now.Add(p.maxForecast(g))
-	for _, u := range r.awaited {
-		for _, a := range u.attempts {
-			a.awaitedUntil = awaitedUntil
-		}
-		g.job.claim.awaited = append(g.job.claim.awaited, u.attempts...)
-		p.countAwaited(u.attempts)
-	}
 	return orders
 }
 
@@ -140,7 +126,6 @@
 // ruling is the result of a contest. Its placement is nil if nothing is worth stopping.
 type ruling struct {
 	units     []*stopUnit
-	awaited   []*stopUnit
 	placement placement
 	cost      float64
 }
@@ -180,9 +165,6 @@
 		for _, u := range choice.Stop {
 			r.units = append(r.units, stopUnits[u])
 		}
-		for _, u := range choice.Await {
-			r.awaited = append(r.awaited, stopUnits[u])
-		}
 		rulings[i] = r
 	}
 	return rulings
@@ -193,7 +175,7 @@
 	step := c.group.job.step(c.group.step)
 	d := preempter.Demand{
 		Count: c.n, Need: step.Need(), PerWorker: step.MaxPerWorker, Level: c.group.level,
-		Guaranteed: c.group.level == levelGuaranteed, MaxWaste: p.maxWaste(c.group, c.n), MaxWait: p.maxForecast(c.group),
+		Guaranteed: c.group.level == levelGuaranteed, MaxWaste: p.maxWaste(c.group, c.n),
 	}
 	for _, pool := range c.pools {
 		if len(pool) == 0 {
@@ -216,7 +198,7 @@
 // preempterUnit translates a unit, without the members on workers that are not in the fleet.
 func (p *pass) preempterUnit(u *stopUnit) preempter.Unit {
 	unit := preempter.Unit{
-		Level: u.level, Protected: u.interruptions >= maxInterruptions, Cost: u.cost, Waste: u.waste, EndsIn: p.endsIn(u),
+		Level: u.level, Protected: u.interruptions >= maxInterruptions, Cost: u.cost, Waste: u.waste,
 	}
 	for _, r := range u.attempts {
 		w, ok := p.fleetIndex[r.worker]
@@ -232,45 +214,6 @@
 	return unit
 }
 
-// endsIn returns the time until the last attempt of a unit is expected to end, or 0 if that is not known: the progress
-// of an attempt that runs longer than was expected must show it. A unit that was awaited in vain is not awaited again.
-func (p *pass) endsIn(u *stopUnit) time.Duration {
-	var longest time.Duration
-	for _, r := range u.attempts {
-		remaining := p.core.remainingRunTime(r, p.now)
-		if !r.awaitedUntil.IsZero() || r.job.step(r.id.Task.Step).Service || remaining <= 0 && r.percent <= minProjectionPercent {
-			return 0
-		}
-		longest = max(longest, remaining, time.Millisecond)
-	}
-	return longest
-}
-
-// countAwaited counts the room of attempts for which a claim waits as being released.
-func (p *pass) countAwaited(attempts []*attempt) {
-	for _, r := range attempts {
-		_, usable := p.releasing[r.worker]
-		if !usable || p.awaited[r] || r.stopping || r.worker.attempts[r.id] != r || !p.now.Before(r.awaitedUntil) {
-			continue
-		}
-		p.core.planBy(r.awaitedUntil)
-		if p.awaited == nil {
-			p.awaited = map[*attempt]bool{}
-		}
-		p.awaited[r] = true
-		p.releasing[r.worker] = p.releasing[r.worker].Plus(r.need)
-	}
-}
-
-// countAllAwaited counts the room for which the valid claims wait.
-func (p *pass) countAllAwaited() {
-	for _, j := range p.core.activeJobs {
-		if c := j.claim; c != nil && p.now.Before(c.expiresAt) {
-			p.countAwaited(c.awaited)
-		}
-	}
-}
-
 // cheapestVictim returns the ruling for one task of a group on the workers of a pool.
 func (p *pass) cheapestVictim(g group, pool []*worker) ruling {
 	if len(pool) == 0 || !p.mayPreempt(g) {
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -31,7 +31,7 @@
 	for _, w := range pool {
 		free[w] = p.room[w].Plus(p.releasing[w])
 		for _, r := range w.attempts {
-			if !r.stopping && !p.awaited[r] && r.job != nil && !r.job.step(r.id.Task.Step).Service {
+			if !r.stopping && r.job != nil && !r.job.step(r.id.Task.Step).Service {
 				if remaining := p.core.remainingRunTime(r, p.now); remaining <= limit {
 					endings = append(endings, ending{r, remaining})
 				}
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -49,8 +49,6 @@
 	contenders []contender
 	// fleetIndex holds the positions in fleet; it is filled on first use.
 	fleetIndex map[*worker]int
-	// awaited holds the attempts whose room counts as being released although they are not stopped.
-	awaited map[*attempt]bool
 	// reservedWorkers are kept free for urgent work and service tasks.
 	reservedWorkers map[*worker]bool
 	// reserveEnforced is true when other work may not use reservedWorkers, however long it waits.
@@ -76,7 +74,6 @@
 	p.searchLimit = min(max(searchedAttempts/max(attempts, 1), minSearches), maxSearches)
 	p.noRoom, p.searches, p.stepCounts = map[demand]bool{}, map[*job]*searches{}, map[*worker]map[jobStep]int{}
 	p.reservedWorkers, p.reserveEnforced = p.selectReserved(), p.fleetBusy()
-	p.countAllAwaited()
 	return p
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,8 +72,8 @@
 	// Discarded is called with the core-seconds of unsaved work that an attempt loses as it ends, and the cause; it may be
 	// nil.
 	Discarded func(cause string, coreSeconds float64)
-	// Contended is called with the outcome of each search for work that may be stopped for an urgent group without room:
-	// "Preempted", "Awaited" if all of the room comes free by itself, or "Denied"; it may be nil.
+	// Contended is called with the outcome of each search for work to stop for an urgent group without room, "Preempted" or
+	// "Denied"; it may be nil.
 	Contended func(outcome string)
 
 	jobs map[descriptor.JobID]*job
@@ -181,8 +181,6 @@
 	stopCause discardCause
 	// stopOrderedAt is when a stop was last ordered.
 	stopOrderedAt time.Time
-	// awaitedUntil is the time until which a claim waits for the attempt to end by itself; zero if none does.
-	awaitedUntil time.Time
 	// stopAnswered is the worker clock at which the worker answered a stop; after it, a delayed start of the attempt
 	// is refused. Zero means no answer.
 	stopAnswered descriptor.WorkerClock
--- a/internal/planner/preemption.go
+++ b/internal/planner/preemption.go
@@ -36,13 +36,13 @@
 }
 
 // stopUnits returns the units on the pool that groups of a level may preempt, sorted by task: those of a higher, less
-// urgent level that are not being stopped and not awaited. Tasks of service steps with MayMiss are never preempted.
+// urgent level that are not being stopped. Tasks of service steps with MayMiss are never preempted.
 func (p *pass) stopUnits(groupLevel int, pool []*worker) []*stopUnit {
 	var units []*stopUnit
 	taken := map[*attempt]bool{}
 	for _, w := range pool {
 		for _, r := range w.attempts {
-			if taken[r] || r.stopping || p.awaited[r] || !r.current() || r.job.step(r.id.Task.Step).MayMiss > 0 {
+			if taken[r] || r.stopping || !r.current() || r.job.step(r.id.Task.Step).MayMiss > 0 {
 				continue
 			}
 			if level(r.job, p.withinGuarantee) > groupLevel {
--- a/internal/preempter/preempter.go
+++ b/internal/preempter/preempter.go
@@ -1,4 +1,4 @@
-// Package preempter chooses which running work to stop, and which to wait for, so that work without room can start.
+// Package preempter chooses which running work to stop so that work without room can start.
 //
 // A unit is a set of running members, on one worker or several, that are stopped together. A demand asks for room for a
 // number of equal tasks on the workers of one pool out of several. Choose solves several demands together. It holds no
@@ -9,7 +9,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"persimmontrail/pkg/descriptor"
 )
@@ -59,8 +58,6 @@
 	Cost float64
 	// Waste is the part of the cost that counts against MaxWaste of a demand.
 	Waste float64
-	// EndsIn is the time until the unit ends by itself; 0 if that is not known.
-	EndsIn time.Duration
 }
 
 // Pool is a set of workers on which a demand may be placed as a whole.
@@ -81,8 +78,6 @@
 	Level     int
 	// Guaranteed demands come before all others, may stop Protected units and have no MaxWaste.
 	Guaranteed bool
-	// MaxWait is how long the demand can wait for units that end by themselves.
-	MaxWait time.Duration
 	// MaxWaste bounds the waste of the units that are stopped for the demand.
 	MaxWaste float64
 }
@@ -91,10 +86,8 @@
 type Choice struct {
 	// Served is true if the demand gets room; otherwise the other fields are empty.
 	Served bool
-	// Stop holds the indexes of the units to stop, and Await those of the units that end by themselves in time, both
-	// sorted.
-	Stop  []int
-	Await []int
+	// Stop holds the indexes of the units to stop, sorted.
+	Stop []int
 	// Workers has the worker of each task.
 	Workers []int
 	// Cost is the sum of the costs of Stop.
@@ -245,7 +238,7 @@
 	units  []Unit
 	// workers are the indexes of the workers of the pool.
 	workers []int
-	// free holds the free capacity of all workers, with that of the units that are awaited.
+	// free holds the free capacity of all workers.
 	free []descriptor.Capacity
 	// own holds, for each worker of the pool, the units that run on it alone, the cheapest first; ownKey identifies them.
 	own    map[int][]int
@@ -284,7 +277,7 @@
 	scene *scene
 	free  []descriptor.Capacity
 	units []Unit
-	// spent marks the units that are to be stopped or awaited.
+	// spent marks the units that are to be stopped.
 	spent   []bool
 	variant variant
 	// first holds units that are stopped already, on behalf of the next demand that is served.
@@ -327,11 +320,6 @@
 	return waste <= d.MaxWaste
 }
 
-// endsInTime reports whether a unit that is not spent ends by itself within MaxWait of the demand.
-func (s *state) endsInTime(d *Demand, u int) bool {
-	return !s.spent[u] && s.units[u].EndsIn > 0 && s.units[u].EndsIn <= d.MaxWait
-}
-
 func (s *state) newProblem(d *Demand, pool []int) *problem {
 	p := &problem{
 		scene: s.scene, demand: d, units: s.units, workers: pool, free: slices.Clone(s.free),
@@ -342,12 +330,6 @@
 			u := &s.units[i]
 			switch {
 			case s.spent[i]:
-			case s.endsInTime(d, i):
-				for _, m := range u.Members {
-					if m.Worker == w {
-						p.free[w] = p.free[w].Plus(m.Need)
-					}
-				}
 			case !mayStop(d, u):
 			case len(u.Members) > 1:
 				p.wide = append(p.wide, i)
@@ -379,14 +361,6 @@
 	for _, w := range c.Workers {
 		s.free[w] = s.free[w].Minus(p.demand.Need)
 	}
-	for u := range s.units {
-		if s.endsInTime(p.demand, u) && slices.ContainsFunc(s.units[u].Members, func(m Member) bool {
-			return slices.Contains(c.Workers, m.Worker) && lacks(s.free[m.Worker])
-		}) {
-			s.release(u)
-			c.Await = append(c.Await, u)
-		}
-	}
 	return c
 }
 
@@ -398,8 +372,6 @@
 	}
 }
 
-func lacks(c descriptor.Capacity) bool { return c.Cores < 0 || c.Memory < 0 || c.Accelerators < 0 }
-
 // limit returns the most tasks that one worker may take.
 func (p *problem) limit() int {
 	if p.demand.PerWorker > 0 {
