--- a/internal/planner/fairness.go
+++ b/internal/planner/fairness.go
@@ -33,13 +33,13 @@
 	return j.classes
 }
 
-// balancedValueDensity returns the valueDensity of a waiting occurrence, moved up if classes of the workload were served
-// far less than others lately. An occurrence that is tooLate counts as not served.
-func (c *Core) balancedValueDensity(j *job, k int, now time.Time) float64 {
+// balanceFactor returns the factor on the valueDensity of a waiting occurrence: more than 1 if classes of the workload were
+// served far less than others lately. An occurrence that is tooLate counts as not served.
+func (c *Core) balanceFactor(j *job, k int, now time.Time) float64 {
 	if c.expectedLateness(j, k, now) == tooLate {
 		c.recordService(j, k, false, now)
 	}
-	return c.valueDensity(j, k, now) * c.service.Factor(c.classesOf(j), now)
+	return c.service.Factor(c.classesOf(j), now)
 }
 
 // recordService records how occurrence k was served, at its end or when it is tooLate, whichever is first.
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -455,6 +455,9 @@
 			checkpoint = tasks[i].Checkpoint
 		}
 	}
+	if g.balanceFactor > 1 {
+		reason += fmt.Sprintf("; moved up by %.2f", g.balanceFactor)
+	}
 	var orders []Order
 	for n, i := range indexes {
 		w, t := ws[n], &tasks[i]
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -38,8 +38,10 @@
 	indexes []int
 	// level is the urgency level of the workload.
 	level int
-	// valueDensity orders groups of the same rank: value per core-second that is still to do.
+	// valueDensity orders groups of the same rank: value per core-second that is still to do, times balanceFactor.
 	valueDensity float64
+	// balanceFactor is more than 1 if the workload belongs to a class that was served far less than others lately.
+	balanceFactor float64
 	// objective is the time by which the occurrence should be done.
 	objective time.Time
 	// claim is the room freed for the group by preemption; nil when there is none.
@@ -312,9 +314,11 @@
 				continue
 			}
 			waiting = true
-			jobLevel, objective, valueDensity := level(j, withinGuarantee), c.objective(j, k), c.balancedValueDensity(j, k, now)
+			jobLevel, objective, valueDensity := level(j, withinGuarantee), c.objective(j, k), c.valueDensity(j, k, now)
+			factor := c.balanceFactor(j, k, now)
 			for _, g := range ready {
-				g.level, g.objective, g.valueDensity, g.claim = jobLevel, objective, valueDensity, j.validClaim(k, g.step, now)
+				g.level, g.objective, g.claim = jobLevel, objective, j.validClaim(k, g.step, now)
+				g.valueDensity, g.balanceFactor = valueDensity*factor, factor
 				gs = append(gs, g)
 			}
 		}
