--- a/internal/planner/contention.go
+++ b/internal/planner/contention.go
@@ -49,12 +49,12 @@
 	if len(contenders) == 0 {
 		return nil
 	}
-	demands := make([]contest, len(contenders))
+	contests := make([]contest, len(contenders))
 	for i, c := range contenders {
-		demands[i] = contest{c.group, len(c.group.indexes), c.pools}
+		contests[i] = contest{c.group, len(c.group.indexes), c.pools}
 	}
 	var orders []Order
-	for i, r := range p.chooseVictims(demands) {
+	for i, r := range p.chooseVictims(contests) {
 		c := contenders[i]
 		p.core.currentJob = c.group.job.id()
 		if r.placement == nil {
