--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -65,18 +65,14 @@
 	return left
 }
 
-// maxForecast returns how long an urgent group waits for room that comes free by itself: for its remainingSlack, and no
-// longer than a preemption would take. It is at least 0.
-func (p *pass) maxForecast(g group) time.Duration {
-	return max(0, min(p.remainingSlack(g), p.core.Limits.StopGrace+stopMargin))
-}
-
-// earmarkForecast earmarks, for an urgent group, room that is expected to be free within maxForecast. It reports whether it found such room.
+// earmarkForecast earmarks, for an urgent group, room that is expected to be free within remainingSlack and no later
+// than a preemption would free it. It reports whether it found such room.
 func (p *pass) earmarkForecast(g group, step *descriptor.Step, pools [][]*worker, need descriptor.Capacity, n int) bool {
-	limit := p.maxForecast(g)
+	limit := p.remainingSlack(g)
 	if limit <= 0 {
 		return false
 	}
+	limit = min(limit, p.core.Limits.StopGrace+stopMargin)
 	var best placement
 	var bestWait time.Duration
 	for _, pool := range pools {
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -254,8 +254,8 @@
 	return r.placement[0]
 }
 
-// placeGang starts all tasks of a gang or none. For an urgent gang without room it earmarks room, or
-// makes it a contender.
+// placeGang starts all tasks of a gang or none. For an urgent gang without room it earmarks room, or makes the
+// gang a contender.
 func (p *pass) placeGang(g group, d demand, eligible []*worker) []Order {
 	step := g.job.step(g.step)
 	need, n := step.Need(), len(g.indexes)
