--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -52,6 +52,10 @@
 	started int
 	// stepCounts caches the number of attempts on a worker by step.
 	stepCounts map[*worker]map[jobStep]int
+	// contenders are the urgent gangs of one level that have found no room so far in this pass.
+	contenders []contender
+	// fleetIndex holds the positions in fleet; it is filled on first use.
+	fleetIndex map[*worker]int
 	// reservedWorkers are kept free for urgent work and service tasks.
 	reservedWorkers map[*worker]bool
 	// reserveEnforced is true when other work may not use reservedWorkers, however long it waits.
@@ -259,29 +263,16 @@
 		// The caller uses the result only to see whether a worker was earmarked, so any worker will do.
 		return eligible[0]
 	}
-	var best *worker
-	var bestVictims []*stopUnit
-	bestCost := 0.0
-	for _, w := range eligible {
-		if p.atTaskLimit(g, step, w) {
-			continue
-		}
-		victims, cost, ok := p.victims(g, []*worker{w}, need, 1)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = w, victims, cost
-		}
-	}
-	if best == nil || !p.worthPreempting(g, bestVictims, 1) {
+	r := p.cheapestVictim(g, slices.DeleteFunc(slices.Clone(eligible), func(w *worker) bool { return p.atTaskLimit(g, step, w) }))
+	if r.placement == nil {
 		return nil
 	}
-	*orders = append(*orders, p.preempt(g, bestVictims, bestCost)...)
-	p.addClaim(g, placement{best})
-	p.room[best] = p.room[best].Minus(need)
-	return best
+	*orders = append(*orders, p.take(g, r)...)
+	return r.placement[0]
 }
 
-// placeGang starts all tasks of a gang or none. For an urgent gang without room it earmarks room or preempts other
-// work. A SameRack gang is spread over racks after rackWait, or at once when no rack could hold it even if empty.
+// placeGang starts all tasks of a gang or none. For an urgent gang without room it earmarks room, or makes the
+// gang a contender.
 func (p *pass) placeGang(g group, d demand, eligible []*worker) []Order {
 	step := g.job.step(g.step)
 	need, n := step.Need(), len(g.indexes)
@@ -304,11 +295,16 @@
 		if p.earmarkForecast(g, step, pools, need, n) {
 			return nil
 		}
-		if orders := p.preemptForGang(g, step, pools, need, n); orders != nil {
-			return orders
-		}
-		p.noteVainSearch(g, d)
+		return p.contend(contender{group: g, demand: d, eligible: eligible, pools: pools})
 	}
+	return p.placeSpread(g, d, eligible, fitsWhenEmpty, maySearch)
+}
+
+// placeSpread goes on with a gang for which no pool has room: if it has SameRack, it is spread over racks after rackWait,
+// or at once when no rack could hold it even if empty.
+func (p *pass) placeSpread(g group, d demand, eligible []*worker, fitsWhenEmpty, maySearch bool) []Order {
+	step := g.job.step(g.step)
+	need, n := step.Need(), len(g.indexes)
 	if !step.SameRack {
 		p.noRoom[d] = true
 		return nil
@@ -329,10 +325,7 @@
 	}
 	p.noRoom[d] = true
 	if maySearch && !fitsWhenEmpty {
-		if orders := p.preemptForGang(g, step, [][]*worker{eligible}, need, n); orders != nil {
-			return orders
-		}
-		p.noteVainSearch(g, d)
+		return p.contend(contender{group: g, demand: d, eligible: eligible, pools: [][]*worker{eligible}, spread: true})
 	}
 	return nil
 }
@@ -506,6 +499,9 @@
 			checkpoint = tasks[i].Checkpoint
 		}
 	}
+	if g.balanceFactor > 1 {
+		reason += fmt.Sprintf("; moved up by %.2f", g.balanceFactor)
+	}
 	var orders []Order
 	for n, i := range indexes {
 		w, t := ws[n], &tasks[i]
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"persimmontrail/internal/assessor"
+	"persimmontrail/internal/balancer"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -74,6 +75,9 @@
 	Discarded func(cause string, coreSeconds float64)
 	// HealthChanged is called when the state of a worker's health changes; it may be nil.
 	HealthChanged func(assessor.Change)
+	// Contended is called with the outcome of each search for work to stop for an urgent group without room, "Preempted" or
+	// "Denied"; it may be nil.
+	Contended func(outcome string)
 
 	jobs map[descriptor.JobID]*job
 	// activeJobs holds the workloads that were not finished at the last plan or were added since, sorted by id.
@@ -94,6 +98,8 @@
 	plannedAt time.Time
 	// health judges the workers by what happens on them.
 	health assessor.Assessor
+	// service holds how well classes of work were served lately.
+	service balancer.Ledger
 	// reserve tracks how many accelerators to keep free for urgent work.
 	reserve reserve
 	// unheard is the set of nodes whose first report is awaited until settledAt.
@@ -132,6 +138,10 @@
 	failedSteps map[int]bool
 	// gangEnds says why gangs of the workload ended that did not succeed.
 	gangEnds map[gangRun]discardCause
+	// classes caches the result of classesOf.
+	classes []balancer.Membership
+	// recordedLate is the set of open occurrences that were recorded as not served, since they are tooLate.
+	recordedLate map[int]bool
 	// claim is the room freed for the workload by preemption; nil when there is none.
 	claim *claim
 	// preemptAfter is the earliest time for the next search for attempts that a gang of the workload may preempt.
