estimator, planner: distributions of run times, learned from finished, stopped and running attempts

Cause: only a moving mean a queue was known of run times, and nothing of workers' speeds. Change: the package estimator, and its use in the planner behind Core.Expectations, which nothing sets yet outside the simulator; without it the planner decides as before.

--- /dev/null
+++ b/internal/planner/expectation.go
@@ -0,0 +1,271 @@
+package planner
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"persimmontrail/internal/estimator"
+	"persimmontrail/pkg/descriptor"
+)
+
+const (
+	// runningSampleInterval is the pause between two samples of the running attempts.
+	runningSampleInterval = time.Second
+	// trustedMiss is the value that the error of the expectations of a queue must stay below for run times to be trusted;
+	// like maxTrustedError, it is the logarithm of a factor of about 1.6.
+	trustedMiss = maxTrustedError
+	// slowWorkerChance is the chance that a worker is slow of which nothing else is known.
+	slowWorkerChance = 0.05
+	// projectionSigma is the standard deviation of the logarithm of a rest projected from progress, apart from what the
+	// rounding of percentages adds.
+	projectionSigma = 0.1
+	// minProjectedPercent is the progress from which the rest of an attempt is projected from it.
+	minProjectedPercent = 4
+)
+
+// CheckedQuantiles are the quantiles of the expected run times that are compared with the actual ones.
+var CheckedQuantiles = []float64{0.5, 0.8, 0.95}
+
+// classOf returns the class of the tasks of step s.
+func classOf(j *job, s int) estimator.Class {
+	return estimator.Class{Queue: j.record.Workload.Queue, Workspace: j.record.Workload.Workspace, Shape: estimator.ShapeOf(j.step(s))}
+}
+
+// expectation returns what to expect of the run time of a task of step s on a worker of speed 1.
+func (c *Core) expectation(j *job, s int) estimator.Distribution {
+	return c.Expectations.Estimate(classOf(j, s), j.step(s).RunTime)
+}
+
+// workerSpeed returns how much faster a worker is than the others; 1 is nominal.
+func (c *Core) workerSpeed(w *worker) float64 {
+	if c.Expectations == nil {
+		return 1
+	}
+	return c.Expectations.Speed(w.incarnation.Worker)
+}
+
+// runTimesTrusted reports whether the expected run times of a workload's queue are accurate enough to detect a slow
+// worker.
+func (c *Core) runTimesTrusted(j *job) bool {
+	if c.Expectations == nil {
+		return c.runTimes[j.record.Workload.Queue].trusted()
+	}
+	samples, miss := c.Expectations.Known(estimator.Class{Queue: j.record.Workload.Queue})
+	return samples >= trustedSamples && miss < trustedMiss
+}
+
+// placementFactor returns the factor by which an attempt is slowed down by its placement: away from its data, or as a
+// member of a SameRack gang that is spread over racks.
+func (c *Core) placementFactor(r *attempt) float64 {
+	step := r.job.step(r.id.Task.Step)
+	rack := r.worker.status.Rack
+	if step.DataRack != "" && step.DataRack != rack {
+		return max(1, c.Limits.DistanceFactor)
+	}
+	if !step.SameRack {
+		return 1
+	}
+	id := r.id.Task
+	for i := range step.Count {
+		id.Index = i
+		if m := r.job.activeAttempts[id]; m != nil && m.worker.status.Rack != rack {
+			return max(1, c.Limits.DistanceFactor)
+		}
+	}
+	return 1
+}
+
+// nominalWork returns how long an attempt has run, without the wait for its gang and the slowdown by its placement.
+func (c *Core) nominalWork(r *attempt, now time.Time) time.Duration {
+	elapsed := now.Sub(r.started)
+	if r.job.step(r.id.Task.Step).Gang {
+		elapsed -= c.gangDelay(r)
+	}
+	return time.Duration(float64(elapsed) / c.placementFactor(r))
+}
+
+// expectedRest returns the expected rest of an attempt whose progress says nothing about it.
+func (c *Core) expectedRest(r *attempt, now time.Time) time.Duration {
+	worked, s := c.nominalWork(r, now), r.id.Task.Step
+	slowdown := c.placementFactor(r) / c.workerSpeed(r.worker)
+	if observed := r.job.stepRunTimes[s].medianOverall(); observed > worked {
+		return time.Duration(float64(observed-worked) * slowdown)
+	}
+	return time.Duration(float64(c.expectation(r.job, s).MeanRemaining(max(0, worked))) * slowdown)
+}
+
+// chanceToEnd returns the chance that an attempt ends within a time from now. Without Expectations it is 0 or 1.
+func (c *Core) chanceToEnd(r *attempt, within time.Duration, now time.Time) float64 {
+	rest := c.remainingRunTime(r, now)
+	switch {
+	case c.Expectations == nil || rest <= 0:
+		if rest <= within {
+			return 1
+		}
+		return 0
+	case within <= 0:
+		return 0
+	case r.confirmed && r.percent >= minProjectedPercent:
+		sigma := projectionSigma + 1/float64(r.percent)
+		return math.Erfc(-math.Log(float64(within)/float64(rest))/(sigma*math.Sqrt2)) / 2
+	}
+	slowdown := c.placementFactor(r) / c.workerSpeed(r.worker)
+	return c.expectation(r.job, r.id.Task.Step).ChanceWithin(max(0, c.nominalWork(r, now)), time.Duration(float64(within)/slowdown))
+}
+
+// endsBefore reports whether an attempt is expected to end before a time from now has passed.
+func (c *Core) endsBefore(r *attempt, left time.Duration, now time.Time) bool {
+	if c.Expectations == nil {
+		return c.remainingRunTime(r, now) < left
+	}
+	return c.chanceToEnd(r, left, now) > 0.5
+}
+
+// sampleOf returns a sample of an attempt. The tasks of a step count as one sample together. A gang runs on several
+// workers and ends as a whole, so it counts for no worker.
+func (c *Core) sampleOf(r *attempt, censored bool, now time.Time) estimator.Sample {
+	s := r.id.Task.Step
+	step := r.job.step(s)
+	sample := estimator.Sample{
+		Class: classOf(r.job, s), Declared: step.RunTime, Elapsed: c.nominalWork(r, now), Censored: censored,
+		Weight: 1 / float64(step.Count), Worker: r.worker.incarnation.Worker, At: now,
+	}
+	if step.Gang {
+		sample.Worker = ""
+	}
+	return sample
+}
+
+// learnFromSuccess adds the run time of an attempt that has succeeded, once for a gang, and compares it with those of
+// the other tasks of the step.
+func (c *Core) learnFromSuccess(r *attempt, now time.Time) {
+	if c.Expectations == nil || r.job.step(r.id.Task.Step).Service {
+		return
+	}
+	sample := c.sampleOf(r, false, now)
+	if r.job.step(r.id.Task.Step).Gang {
+		sample.Weight = 1
+	}
+	c.checkQuantiles(r, sample.Elapsed)
+	c.compareWithPeers(r, sample.Elapsed, now)
+	c.Expectations.Add(sample)
+}
+
+// compareWithPeers compares the run time of an attempt with those of the other tasks of the step. The members of a gang
+// end together, so the run times projected from their progress are compared.
+func (c *Core) compareWithPeers(r *attempt, elapsed time.Duration, now time.Time) {
+	observed := r.job.stepRunTimes[r.id.Task.Step]
+	if observed == nil {
+		return
+	}
+	if !r.job.step(r.id.Task.Step).Gang {
+		if peers := observed.medianExcept(r.worker.incarnation.Worker); peers > 0 {
+			c.Expectations.AddComparison(r.worker.incarnation.Worker, float64(elapsed)/float64(peers), false, now)
+		}
+		return
+	}
+	workers := make([]descriptor.WorkerID, 0, len(observed.byWorker))
+	for w := range observed.byWorker {
+		workers = append(workers, w)
+	}
+	slices.Sort(workers)
+	for _, w := range workers {
+		if peers := observed.medianExcept(w); peers > 0 {
+			c.Expectations.AddComparison(w, float64(observed.byWorker[w])/float64(peers), false, now)
+		}
+	}
+}
+
+// learnFromStop adds an attempt that ended without success as a censored sample, unless its worker is to blame for its
+// duration.
+func (c *Core) learnFromStop(r *attempt, cause discardCause, now time.Time) {
+	if c.Expectations == nil || !c.sampled(r) {
+		return
+	}
+	switch cause {
+	case causeStalled, causeSlow, causeWorkerLost, causeFailed:
+		return
+	}
+	c.Expectations.Add(c.sampleOf(r, true, now))
+}
+
+// sampled reports whether the time that an attempt has run says something about the run time of its task.
+func (c *Core) sampled(r *attempt) bool {
+	return r.job != nil && r.confirmed && r.checkpoint == "" && !r.job.step(r.id.Task.Step).Service && r.gangPresent()
+}
+
+// sampleRunning passes the running attempts to Expectations, at most once per runningSampleInterval.
+func (c *Core) sampleRunning(now time.Time) {
+	if c.Expectations == nil || now.Sub(c.runningSampledAt) < runningSampleInterval {
+		return
+	}
+	c.runningSampledAt = now
+	var samples []estimator.Sample
+	for _, w := range c.sortedWorkers() {
+		for _, r := range w.sortedAttempts() {
+			if r.current() && c.sampled(r) {
+				samples = append(samples, c.sampleOf(r, true, now))
+			}
+		}
+	}
+	c.Expectations.SetRunning(samples)
+}
+
+// longByNature reports whether an attempt that takes longer than expected is more likely long by itself than on a slow
+// worker: other attempts on the worker run as expected, or tasks that are as long are not rare.
+func (c *Core) longByNature(r *attempt, projected time.Duration) bool {
+	if c.Expectations == nil {
+		return false
+	}
+	normal, slow := 0, 0
+	for _, other := range r.worker.attempts {
+		if other == r || !c.progressMeaningful(other) || other.percent < minProjectionPercent || other.checkpoint != "" {
+			continue
+		}
+		peers := other.job.stepRunTimes[other.id.Task.Step].medianExcept(other.worker.incarnation.Worker)
+		if peers == 0 {
+			continue
+		}
+		if c.runTimeRatio(other, peers) < slowFactor {
+			normal++
+		} else {
+			slow++
+		}
+	}
+	if normal != slow {
+		return normal > slow
+	}
+	chance := 0.0
+	if peers := r.job.stepRunTimes[r.id.Task.Step].medianExcept(r.worker.incarnation.Worker); peers > 0 {
+		chance = c.Expectations.ChanceAgainstPeers(float64(projected) / (float64(peers) * c.placementFactor(r)))
+	} else {
+		chance = 1 - c.expectation(r.job, r.id.Task.Step).ChanceWithin(0, time.Duration(float64(projected)/c.placementFactor(r)))
+	}
+	return chance > slowWorkerChance
+}
+
+// runTimeRatio returns the projected run time of an attempt over that of its peers.
+func (c *Core) runTimeRatio(r *attempt, peers time.Duration) float64 {
+	projected := c.workedTime(r, r.lastListed) * 100 / time.Duration(r.percent+1)
+	return float64(projected) / (float64(peers) * c.placementFactor(r))
+}
+
+// noteExpectedQuantiles keeps the expected run time of an attempt that was confirmed, to be compared with the actual one.
+func (c *Core) noteExpectedQuantiles(r *attempt) {
+	if c.Expectations == nil || c.QuantileChecked == nil || r.job.step(r.id.Task.Step).Service {
+		return
+	}
+	expected := c.expectation(r.job, r.id.Task.Step)
+	r.expectedQuantiles = make([]time.Duration, len(CheckedQuantiles))
+	for i, q := range CheckedQuantiles {
+		r.expectedQuantiles[i] = expected.Quantile(q)
+	}
+}
+
+// checkQuantiles compares a run time with the expected quantiles.
+func (c *Core) checkQuantiles(r *attempt, elapsed time.Duration) {
+	for i, expected := range r.expectedQuantiles {
+		c.QuantileChecked(CheckedQuantiles[i], elapsed < expected)
+	}
+}
--- a/internal/planner/history.go
+++ b/internal/planner/history.go
@@ -91,16 +91,25 @@
 // expectedRunTime returns the expected run time of a task of step s: the one observed on the step's tasks, or else the
 // estimate.
 func (c *Core) expectedRunTime(j *job, s int) time.Duration {
+	if c.TrueRunTime != nil {
+		return c.TrueRunTime(j.id(), s)
+	}
 	if d := j.stepRunTimes[s].medianOverall(); d > 0 {
 		return d
 	}
 	return c.estimateRunTime(j, s)
 }
 
-// estimateRunTime returns the declared run time, or defaultRunTime if none is declared, while the queue has fewer than
+// estimateRunTime returns the mean expectation for a task of step s. Without Expectations it is the declared run time, or defaultRunTime if none is declared, while the queue has fewer than
 // minRunTimeSamples. After that it returns the mean of the queue or the corrected declared run time, whichever has been
 // more accurate.
 func (c *Core) estimateRunTime(j *job, s int) time.Duration {
+	if c.TrueRunTime != nil {
+		return c.TrueRunTime(j.id(), s)
+	}
+	if c.Expectations != nil {
+		return c.expectation(j, s).Mean()
+	}
 	declared := j.step(s).RunTime
 	if declared <= 0 {
 		declared = defaultRunTime
@@ -125,5 +134,8 @@
 			return max(0, worked*100/time.Duration(r.percent)-c.workedTime(r, r.firstListed+descriptor.WorkerClock(elapsed.Milliseconds())))
 		}
 	}
+	if c.Expectations != nil {
+		return c.expectedRest(r, now)
+	}
 	return max(0, c.expectedRunTime(r.job, r.id.Task.Step)-elapsed)
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -56,6 +56,7 @@
 		c.currentJob = j.id()
 		orders = append(orders, c.stopUnwanted(j, now)...)
 	}
+	c.sampleRunning(now)
 	orders = append(orders, c.stopStalledAndSlow(now)...)
 	orders = append(orders, c.stopOnDraining(now)...)
 	c.reserve.update(c.urgentDemand(), now)
@@ -130,6 +131,7 @@
 	if !r.stopping {
 		r.stopCause = cause
 		r.noteGangEnd(cause)
+		c.learnFromStop(r, cause, now)
 	}
 	r.stopping, r.stopOrderedAt = true, now
 	c.planBy(now.Add(stopRetryInterval))
@@ -273,7 +275,7 @@
 		}
 		left := time.Duration(w.status.DrainRemaining)*time.Millisecond - now.Sub(w.lastReportAt)
 		for _, r := range w.attempts {
-			if r.stopping || r.job == nil || c.remainingRunTime(r, now) < left {
+			if r.stopping || r.job == nil || c.endsBefore(r, left, now) {
 				continue
 			}
 			orders = append(orders, c.orderStop(r, now, causeDraining, fmt.Sprintf("draining worker leaves in %v", left.Round(time.Millisecond)))...)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,6 +28,7 @@
 	"slices"
 	"time"
 
+	"persimmontrail/internal/estimator"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -71,6 +72,14 @@
 	// Discarded is called with the core-seconds of unsaved work that an attempt loses as it ends, and the cause; it may be
 	// nil.
 	Discarded func(cause string, coreSeconds float64)
+	// Expectations learns run times and the speeds of workers; nil means that the moving means of each queue are used.
+	Expectations *estimator.Estimator
+	// QuantileChecked is called when an attempt has succeeded, for each of CheckedQuantiles that was expected of its run
+	// time, and tells whether the run time was below it; it may be nil.
+	QuantileChecked func(quantile float64, below bool)
+	// TrueRunTime returns the run time of a step's longest task, for simulations of a planner that knows it; nil means
+	// that run times are estimated.
+	TrueRunTime func(job descriptor.JobID, step int) time.Duration
 
 	jobs map[descriptor.JobID]*job
 	// activeJobs holds the workloads that were not finished at the last plan or were added since, sorted by id.
@@ -94,6 +103,8 @@
 	// lastRefusalAt is when the last start was refused; refusalGrid is the origin of the grid of refusalPlanInterval.
 	lastRefusalAt time.Time
 	refusalGrid   time.Time
+	// runningSampledAt is when the running attempts were last passed to Expectations.
+	runningSampledAt time.Time
 	// currentJob is the workload that is being processed. It names the one at fault when the planner panics.
 	currentJob descriptor.JobID
 }
@@ -180,6 +191,9 @@
 	firstListed descriptor.WorkerClock
 	// lastProgress is the worker clock at which percent last changed.
 	lastProgress descriptor.WorkerClock
+	// expectedQuantiles holds the CheckedQuantiles that were expected of the run time when the attempt was confirmed; nil
+	// without Expectations.
+	expectedQuantiles []time.Duration
 	// checkpointAt is when checkpoint last changed.
 	checkpointAt time.Time
 	// checkpoint is the newest checkpoint that is known; empty when there is none.
--- a/internal/planner/runtimes.go
+++ b/internal/planner/runtimes.go
@@ -125,7 +125,7 @@
 // on other workers. If there is none, the estimate and slowFactorByEstimate are used, but only from
 // minProjectionPercent on and if the run times of the queue are trusted. Attempts that have worked for less than
 // minSlowWork, have a checkpoint or are at 100 percent never count as too slow, nor do those whose progress is not
-// meaningful.
+// meaningful, nor with Expectations those that are longByNature.
 func (c *Core) tooSlow(r *attempt) bool {
 	if !c.progressMeaningful(r) || r.percent >= 100 || r.checkpoint != "" {
 		return false
@@ -137,7 +137,7 @@
 	factor := slowFactor
 	expected := r.job.stepRunTimes[r.id.Task.Step].medianExcept(r.worker.incarnation.Worker)
 	if expected == 0 {
-		if r.percent < minProjectionPercent || !c.runTimes[r.job.record.Workload.Queue].trusted() {
+		if r.percent < minProjectionPercent || !c.runTimesTrusted(r.job) {
 			return false
 		}
 		expected, factor = c.estimateRunTime(r.job, r.id.Task.Step), slowFactorByEstimate
@@ -146,5 +146,8 @@
 	projected := worked * 100 / time.Duration(r.percent+1)
 	left := projected * time.Duration(100-r.percent) / 100
 	restartTime := expected + c.Limits.StopGrace + stopMargin
-	return float64(projected) > factor*float64(expected)*c.distanceFactor(r) && left > restartTime*3/2
+	if float64(projected) <= factor*float64(expected)*c.distanceFactor(r) || left <= restartTime*3/2 {
+		return false
+	}
+	return !c.longByNature(r, projected)
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -240,6 +240,7 @@
 	if r.job == nil {
 		return
 	}
+	c.noteExpectedQuantiles(r)
 	r.job.attemptChanges++
 	if !r.job.progress.Begun {
 		r.job.progress.Begun = true
@@ -545,6 +546,7 @@
 	}
 	if r != nil && r.confirmed && r.checkpoint == "" {
 		c.addRunTimeSample(j, e.Task.Step, now.Sub(r.started))
+		c.learnFromSuccess(r, now)
 	}
 	tasks := j.tasks(e.Task.Occurrence, e.Task.Step)
 	if !j.step(e.Task.Step).Gang {
--- a/internal/simulator/load.go
+++ b/internal/simulator/load.go
@@ -84,6 +84,11 @@
 	Bursts         []Burst
 	// Slowdowns may overlap; the speeds of overlapping ones are multiplied.
 	Slowdowns []Slowdown
+	// LearnRunTimes lets the planner learn the distributions of run times and the speeds of workers.
+	LearnRunTimes bool
+	// RunTimesKnown tells the planner the true run times. No deployment can do this; it bounds what better expectations
+	// can gain.
+	RunTimesKnown bool
 	// Guaranteed is the number of guaranteed accelerators of each workspace. Each workload belongs to a workspace that
 	// is drawn with equal probability.
 	Guaranteed []descriptor.Accelerators
--- /dev/null
+++ b/internal/simulator/oracle_test.go
@@ -0,0 +1,57 @@
+package simulator
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+// longTail returns the scenario with run times of which some are many times the mean, and declared run times that say
+// little about them.
+func longTail(s Scenario) Scenario {
+	s.Name += "LongTail"
+	s.Classes = append([]Class(nil), s.Classes...)
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		c.RunTimeSpread, c.MaxRunTime, c.EstimateError = 1.1, 60*time.Second, 0.9
+	}
+	return s
+}
+
+// TestPrintGainOfKnownRunTimes checks nothing: it logs how much a planner gains that is told the true run times.
+func TestPrintGainOfKnownRunTimes(t *testing.T) {
+	seeds := 1
+	if testing.Verbose() {
+		seeds = 16
+	}
+	scenarios := Scenarios()
+	for _, s := range Scenarios() {
+		scenarios = append(scenarios, longTail(s))
+	}
+	for _, s := range scenarios {
+		for _, known := range []bool{false, true} {
+			s.RunTimesKnown = known
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			var net, total float64
+			stops := 0
+			work := make(chan uint64, seeds)
+			for i := range seeds {
+				work <- uint64(i + 1)
+			}
+			close(work)
+			for range 3 {
+				wg.Go(func() {
+					for seed := range work {
+						r := Simulate(s, seed)
+						mu.Lock()
+						net, total, stops = net+r.NetShare/float64(seeds), total+r.TotalShare/float64(seeds), stops+r.StopOrders
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			t.Logf("%-22s known %-5v net %.3f total %.3f stops %d", s.Name, known, net, total, stops/seeds)
+		}
+	}
+}
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"persimmontrail/internal/estimator"
 	"persimmontrail/internal/planner"
 	"persimmontrail/pkg/descriptor"
 )
@@ -52,6 +53,12 @@
 // and seeds give equal results.
 func Simulate(s Scenario, seed uint64) Result {
 	sm := newSimulation(s, seed)
+	if s.LearnRunTimes {
+		sm.core.Expectations = &estimator.Estimator{}
+	}
+	if s.RunTimesKnown {
+		sm.core.TrueRunTime = func(id descriptor.JobID, _ int) time.Duration { return slices.Max(sm.arrivalByJob[id].runTimes) }
+	}
 	for sm.now < s.Duration+cooldownTime {
 		sm.step()
 	}
