--- a/cmd/persimmontrail-node/entry.go
+++ b/cmd/persimmontrail-node/entry.go
@@ -55,7 +55,7 @@
 			StopGrace: nodeSettings.StopGrace, ReclaimTime: nodeSettings.ReclaimTime,
 		},
 		MaxHold: nodeSettings.MaxHold, HoldSlack: platform.HoldSlack(nodeSettings), StartsUnbounded: nodeSettings.OrdersInHeartbeats,
-		EndedRetention: nodeSettings.EndedRetention + nodeSettings.EndedRetention/2, Log: p.log, Metrics: p.metrics,
+		EndedRetention: nodeSettings.EndedRetention + nodeSettings.EndedRetention/2, LearnRunTimes: p.learnRunTimes, Log: p.log, Metrics: p.metrics,
 	}
 	documents.Changed, leaderKey.Changed = scheduler.DocumentChanged, scheduler.KeyChanged
 	documents.BatchDelay = func() time.Duration {
--- a/cmd/persimmontrail-node/main.go
+++ b/cmd/persimmontrail-node/main.go
@@ -72,10 +72,12 @@
 	settings platform.Settings
 	// announcedAddress is the address at which other processes reach this one.
 	announcedAddress string
-	log              *log.Logger
-	metrics          *recorder.Metrics
-	servers          sync.WaitGroup
-	serverErrors     chan error
+	// learnRunTimes makes the leader learn the run times of tasks and the speeds of workers.
+	learnRunTimes bool
+	log           *log.Logger
+	metrics       *recorder.Metrics
+	servers       sync.WaitGroup
+	serverErrors  chan error
 }
 
 // command returns the subcommand for a role. It loads the settings, logs to out and calls runRole with a context that
@@ -83,6 +85,7 @@
 func command(name, help string, out *recorder.Writer, runRole func(ctx context.Context, p *process) error) *ffcli.Command {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	announcedAddress := flags.String("announce", "", "`address` that other processes use to reach this one; empty means the address that it listens on")
+	learnRunTimes := flags.Bool("learn-run-times", false, "entries: learn the run times of tasks and the speeds of workers from runs, and plan by them")
 	return &ffcli.Command{
 		Name: name, ShortUsage: "persimmontrail-node " + name + " [flags]", ShortHelp: help,
 		LongHelp: "Each flag can be set by an environment variable, for instance PERSIMMONTRAIL_ANNOUNCE.",
@@ -98,7 +101,7 @@
 				return settingsError{err}
 			}
 			p := &process{
-				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), log: logger,
+				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), learnRunTimes: *learnRunTimes, log: logger,
 				metrics: &recorder.Metrics{}, serverErrors: make(chan error, 8),
 			}
 			logger.Info("process started", "node", nodeSettings.Node, "failure_domain", nodeSettings.FailureDomain,
--- a/internal/archiver/documents.go
+++ b/internal/archiver/documents.go
@@ -21,6 +21,10 @@
 	Prefix = "pt/"
 	// LeaderKey holds the Member of the current leader, attached to the leader's lease. Written by entries.
 	LeaderKey = Prefix + "leader"
+	// ExpectationsKey holds the estimator.Snapshot of the leader. It does not have the prefix of the other documents, since
+	// the entries that do not lead have no use for it: their mirrors would receive every write of it. Written by the
+	// leader.
+	ExpectationsKey = "pt-expectations"
 	// jobPrefix is the key prefix of the planner.Record documents, one per workload. Written by entries.
 	jobPrefix = Prefix + "job/"
 	// progressPrefix is the key prefix of the planner.Progress documents, one per workload that the leader has processed.
--- a/internal/estimator/snapshot.go
+++ b/internal/estimator/snapshot.go
@@ -57,6 +57,9 @@
 	UpdatedAt  time.Time
 }
 
+// OfQueue reports whether the group holds all runs of a queue.
+func (s *GroupSnapshot) OfQueue() bool { return level(s.Level) == levelQueue }
+
 // HistogramSnapshot holds the buckets of a histogram that are not empty.
 type HistogramSnapshot struct {
 	_               struct{} `cbor:",toarray"`
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -77,6 +77,9 @@
 	// StartsUnbounded means that workers do not check the deadline of a start, so that only a stop rules out that an
 	// unanswered one takes effect.
 	StartsUnbounded bool
+	// LearnRunTimes makes the planner learn the distributions of run times and the speeds of workers, and keeps them in the
+	// store.
+	LearnRunTimes bool
 	// EndedRetention is how long ended workloads stay readable, counted from when the current leader first saw them as
 	// ended.
 	EndedRetention time.Duration
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -60,6 +60,8 @@
 	// discarded holds the core-seconds of work lost in this term, by cause; discardLogAt is when they were last logged.
 	discarded    map[string]float64
 	discardLogAt time.Time
+	// expectations holds what the planner has learned about run times.
+	expectations expectations
 	// pendingStops are stop orders that follow from reports; the next round sends them.
 	pendingStops []planner.Order
 	// linkCtx is the context of run, kept for links that are opened later and for calls with orders.
@@ -82,6 +84,7 @@
 		t.discarded[cause] += coreSeconds
 		ld.Metrics.Add("discarded_core_seconds_total", coreSeconds, "cause", cause)
 	}
+	t.learnRunTimes()
 	t.core.LogEvent = func(message string, job descriptor.JobID, details ...any) {
 		ld.Log.Info(message, append([]any{"job", job, "fence", fence}, details...)...)
 	}
@@ -114,6 +117,7 @@
 // term ended.
 func (t *term) run(ctx context.Context) error {
 	t.linkCtx = ctx
+	t.readExpectations(ctx)
 	if err := t.load(ctx); err != nil {
 		return err
 	}
@@ -329,6 +333,7 @@
 	t.sendOrders(orders, time.Now())
 	t.removeEnded(ctx, start)
 	t.logDiscarded(start)
+	t.writeExpectations(ctx, start)
 	return nil
 }
 
