--- a/internal/estimator/distribution.go
+++ b/internal/estimator/distribution.go
@@ -2,10 +2,21 @@
 
 import "time"
 
+// estimate is a curve with its mean.
+type estimate struct {
+	curve curve
+	mean  float64
+}
+
+func newEstimate(c *curve) *estimate {
+	mean, _ := c.meanAbove(0)
+	return &estimate{curve: *c, mean: mean}
+}
+
 // Distribution is the expected distribution of a run time. That of an Estimator does not change with later samples. The
 // zero value is a run time of 0.
 type Distribution struct {
-	curve *curve
+	*estimate
 	// scale is the factor between the times of the curve and those of the distribution.
 	scale float64
 }
@@ -15,16 +26,15 @@
 
 // Mean returns the expected run time.
 func (d Distribution) Mean() time.Duration {
-	if d.curve == nil {
+	if d.estimate == nil {
 		return 0
 	}
-	mean, _ := d.curve.meanAbove(0)
-	return time.Duration(d.scale * mean)
+	return time.Duration(d.scale * d.mean)
 }
 
 // Quantile returns the time within which a run ends with chance p.
 func (d Distribution) Quantile(p float64) time.Duration {
-	if d.curve == nil {
+	if d.estimate == nil {
 		return 0
 	}
 	return time.Duration(d.scale * d.curve.quantile(p))
@@ -32,7 +42,7 @@
 
 // Remaining returns the time within which a run that has gone on for elapsed ends with chance p.
 func (d Distribution) Remaining(p float64, elapsed time.Duration) time.Duration {
-	if d.curve == nil {
+	if d.estimate == nil {
 		return 0
 	}
 	ended := d.curve.below(float64(elapsed) / d.scale)
@@ -45,7 +55,7 @@
 // MeanRemaining returns the expected rest of a run that has gone on for elapsed. A run that is longer than any expected
 // one is expected to take half as long again.
 func (d Distribution) MeanRemaining(elapsed time.Duration) time.Duration {
-	if d.curve == nil {
+	if d.estimate == nil {
 		return 0
 	}
 	mean, chance := d.curve.meanAbove(float64(elapsed) / d.scale)
@@ -57,7 +67,7 @@
 
 // ChanceWithin returns the chance that a run that has gone on for elapsed ends within limit.
 func (d Distribution) ChanceWithin(elapsed, limit time.Duration) float64 {
-	if d.curve == nil {
+	if d.estimate == nil {
 		return 1
 	}
 	ended := d.curve.below(float64(elapsed) / d.scale)
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -142,9 +142,9 @@
 	// updatedAt is the time of the newest sample; order numbers the updates of all groups.
 	updatedAt time.Time
 	order     uint64
-	// curves caches the results of Estimator.curveOf for version.
-	curves  [len(exponents)]*curve
-	version uint64
+	// estimates caches the results of Estimator.estimateOf for version.
+	estimates [len(exponents)]*estimate
+	version   uint64
 }
 
 // Estimator learns from samples. The zero value knows nothing and is ready for use. It is not safe for concurrent use.
@@ -155,7 +155,7 @@
 	version uint64
 	// runningIn holds the groups with entries in histogram.running.
 	runningIn []*group
-	prior     *curve
+	prior     *estimate
 	workers   workerSpeeds
 }
 
@@ -316,7 +316,7 @@
 
 // distribution is Estimate by one of the exponents.
 func (e *Estimator) distribution(c Class, declared time.Duration, exponent int) Distribution {
-	return Distribution{curve: e.curveOf(c, exponent), scale: scaleOf(declared, exponent)}
+	return Distribution{estimate: e.estimateOf(c, exponent), scale: scaleOf(declared, exponent)}
 }
 
 // bestExponent returns the index of the exponent that has predicted the run times of a queue best.
@@ -344,12 +344,15 @@
 	return q.scored, q.scores[e.bestExponent(c)]
 }
 
-// curveOf returns the estimate for a class from all of its groups, the broadest first.
-func (e *Estimator) curveOf(c Class, exponent int) *curve {
+// Version changes with each change of what is known.
+func (e *Estimator) Version() uint64 { return e.version }
+
+// estimateOf returns the estimate for a class from all of its groups, the broadest first.
+func (e *Estimator) estimateOf(c Class, exponent int) *estimate {
 	if e.prior == nil {
-		e.prior = logNormal(defaultRunTime, priorSigma)
+		e.prior = newEstimate(logNormal(defaultRunTime, priorSigma))
 	}
-	estimate := e.prior
+	last := e.prior
 	queue := e.groups[keyOf(levelQueue, c)]
 	for l := range levelCount {
 		g := e.groups[keyOf(l, c)]
@@ -357,14 +360,14 @@
 			continue
 		}
 		if g.version != e.version {
-			g.version, g.curves = e.version, [len(exponents)]*curve{}
+			g.version, g.estimates = e.version, [len(exponents)]*estimate{}
 		}
-		if g.curves[exponent] == nil {
-			g.curves[exponent] = g.histograms[exponent].posterior(estimate, g.freshness(l, queue))
+		if g.estimates[exponent] == nil {
+			g.estimates[exponent] = newEstimate(g.histograms[exponent].posterior(&last.curve, g.freshness(l, queue)))
 		}
-		estimate = g.curves[exponent]
+		last = g.estimates[exponent]
 	}
-	return estimate
+	return last
 }
 
 // compareKeys orders keys, for results that do not depend on the order of maps.
--- a/internal/planner/expectation.go
+++ b/internal/planner/expectation.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -15,6 +16,10 @@
 	// trustedMiss is the value that the error of the expectations of a queue must stay below for run times to be trusted;
 	// like maxTrustedError, it is the logarithm of a factor of about 1.6.
 	trustedMiss = maxTrustedError
+	// maxSampledTasks bounds the tasks of a step whose run times are learned; they share most of what there is to learn.
+	maxSampledTasks = 8
+	// manyWorkers is the number of workers of a step from which one of them hardly changes the median.
+	manyWorkers = 8
 	// slowWorkerChance is the chance that a worker is slow of which nothing else is known.
 	slowWorkerChance = 0.05
 	// sameStartMargin is how much earlier than another one an attempt may have started to have seen the same conditions on
@@ -40,6 +45,25 @@
 	return c.Expectations.Estimate(classOf(j, s), j.step(s).RunTime)
 }
 
+// expectedMean is the mean of an expectation.
+type expectedMean struct {
+	// version is the version of Expectations plus one for which mean holds; 0 for none.
+	version uint64
+	mean    time.Duration
+}
+
+// meanExpectation returns the mean of expectation, from the cache if possible.
+func (c *Core) meanExpectation(j *job, s int) time.Duration {
+	if j.expectedMeans == nil {
+		j.expectedMeans = make([]expectedMean, len(j.record.Workload.Steps))
+	}
+	cached := &j.expectedMeans[s]
+	if version := c.Expectations.Version() + 1; cached.version != version {
+		*cached = expectedMean{version, c.expectation(j, s).Mean()}
+	}
+	return cached.mean
+}
+
 // workerSpeed returns how much faster a worker is than the others; 1 is nominal.
 func (c *Core) workerSpeed(w *worker) float64 {
 	if c.Expectations == nil {
@@ -63,18 +87,13 @@
 func (c *Core) placementFactor(r *attempt) float64 {
 	step := r.job.step(r.id.Task.Step)
 	rack := r.worker.status.Rack
-	if step.DataRack != "" && step.DataRack != rack {
-		return max(1, c.Limits.DistanceFactor)
+	away := step.DataRack != "" && step.DataRack != rack
+	if !away && step.SameRack {
+		p := r.job.gangPresence(r.id.Task)
+		away = p.spread || p.rack != "" && p.rack != rack
 	}
-	if !step.SameRack {
-		return 1
-	}
-	id := r.id.Task
-	for i := range step.Count {
-		id.Index = i
-		if m := r.job.activeAttempts[id]; m != nil && m.worker.status.Rack != rack {
-			return max(1, c.Limits.DistanceFactor)
-		}
+	if away {
+		return max(1, c.Limits.DistanceFactor)
 	}
 	return 1
 }
@@ -125,31 +144,33 @@
 	return c.chanceToEnd(r, left, now) > 0.5
 }
 
-// sampleOf returns a sample of an attempt. The tasks of a step count as one sample together. A gang runs on several
-// workers and ends as a whole, so it counts for no worker.
+// sampleOf returns a sample of an attempt. The sampled tasks of a step count as one sample together. A gang runs on
+// several workers and ends as a whole, so it counts for no worker.
 func (c *Core) sampleOf(r *attempt, censored bool, now time.Time) estimator.Sample {
 	s := r.id.Task.Step
 	step := r.job.step(s)
 	sample := estimator.Sample{
-		Class: classOf(r.job, s), Declared: step.RunTime, Elapsed: c.nominalWork(r, now), Censored: censored,
-		Weight: 1 / float64(step.Count), Worker: r.worker.incarnation.Worker, At: now,
+		Class: classOf(r.job, s), Declared: step.RunTime, Elapsed: c.nominalWork(r, now), Censored: censored, At: now,
 	}
-	if step.Gang {
-		sample.Worker = ""
+	if !step.Gang {
+		sample.Weight, sample.Worker = 1/float64(min(step.Count, maxSampledTasks)), r.worker.incarnation.Worker
 	}
 	return sample
 }
 
-// learnFromSuccess adds the run time of an attempt that has succeeded, once for a gang, and compares it with those of
-// the other tasks of the step.
+// sampledTask reports whether a task is one of those of its step that are sampled.
+func (j *job) sampledTask(id descriptor.TaskID) bool {
+	step := j.step(id.Step)
+	return !step.Service && (id.Index == 0 || !step.Gang && id.Index < maxSampledTasks)
+}
+
+// learnFromSuccess adds the run time of an attempt that has succeeded, and compares it with those of the other tasks of
+// the step. Of a gang, the first member that is known to have ended counts.
 func (c *Core) learnFromSuccess(r *attempt, now time.Time) {
-	if c.Expectations == nil || r.job.step(r.id.Task.Step).Service {
+	if c.Expectations == nil || !r.job.step(r.id.Task.Step).Gang && !r.job.sampledTask(r.id.Task) {
 		return
 	}
 	sample := c.sampleOf(r, false, now)
-	if r.job.step(r.id.Task.Step).Gang {
-		sample.Weight = 1
-	}
 	c.checkQuantiles(r, sample.Elapsed)
 	c.compareWithPeers(r, sample.Elapsed, now)
 	c.Expectations.Add(sample)
@@ -168,34 +189,39 @@
 		}
 		return
 	}
-	workers := make([]descriptor.WorkerID, 0, len(observed.byWorker))
-	for w := range observed.byWorker {
-		workers = append(workers, w)
-	}
-	slices.Sort(workers)
-	for _, w := range workers {
-		if peers := observed.medianExcept(w); peers > 0 {
+	for _, w := range slices.Sorted(maps.Keys(observed.byWorker)) {
+		peers := observed.medianOverall()
+		if len(observed.byWorker) < manyWorkers {
+			peers = observed.medianExcept(w)
+		}
+		if peers > 0 {
 			c.Expectations.AddComparison(w, float64(observed.byWorker[w])/float64(peers), false, now)
 		}
 	}
 }
 
-// learnFromStop adds an attempt that ended without success as a censored sample, unless its worker is to blame for its
-// duration.
+// learnFromStop adds an attempt that is stopped as a censored sample, unless its worker is to blame for its duration.
+// Whether that holds for one that seems slow is not certain, so it is compared with the other tasks of its step.
 func (c *Core) learnFromStop(r *attempt, cause discardCause, now time.Time) {
-	if c.Expectations == nil || !c.sampled(r) {
+	if c.Expectations == nil || r.job == nil || !c.sampled(r) {
 		return
 	}
 	switch cause {
-	case causeStalled, causeSlow, causeWorkerLost, causeFailed:
-		return
+	case causeStalled, causeWorkerLost:
+	case causeSlow:
+		w := r.worker.incarnation.Worker
+		if peers := r.job.stepRunTimes[r.id.Task.Step].medianExcept(w); peers > 0 {
+			c.Expectations.AddComparison(w, float64(c.nominalWork(r, now))/float64(peers), true, now)
+		}
+	default:
+		c.Expectations.Add(c.sampleOf(r, true, now))
 	}
-	c.Expectations.Add(c.sampleOf(r, true, now))
 }
 
-// sampled reports whether the time that an attempt has run says something about the run time of its task.
+// sampled reports whether an attempt of a workload is sampled and the time that it has run says something about the run
+// time of its task.
 func (c *Core) sampled(r *attempt) bool {
-	return r.job != nil && r.confirmed && r.checkpoint == "" && !r.job.step(r.id.Task.Step).Service && r.gangPresent()
+	return r.confirmed && r.checkpoint == "" && r.job.sampledTask(r.id.Task) && r.gangPresent()
 }
 
 // sampleRunning passes the running attempts to Expectations, at most once per runningSampleInterval.
@@ -205,12 +231,17 @@
 	}
 	c.runningSampledAt = now
 	var samples []estimator.Sample
-	for _, w := range c.sortedWorkers() {
-		for _, r := range w.sortedAttempts() {
-			if r.current() && c.sampled(r) {
-				samples = append(samples, c.sampleOf(r, true, now))
+	for _, j := range c.activeJobs {
+		var running []*attempt
+		for _, r := range j.activeAttempts {
+			if c.sampled(r) {
+				running = append(running, r)
 			}
 		}
+		slices.SortFunc(running, func(a, b *attempt) int { return a.id.Task.Compare(b.id.Task) })
+		for _, r := range running {
+			samples = append(samples, c.sampleOf(r, true, now))
+		}
 	}
 	c.Expectations.SetRunning(samples)
 }
@@ -258,7 +289,7 @@
 
 // noteExpectedQuantiles keeps the expected run time of an attempt that was confirmed, to be compared with the actual one.
 func (c *Core) noteExpectedQuantiles(r *attempt) {
-	if c.Expectations == nil || c.QuantileChecked == nil || r.job.step(r.id.Task.Step).Service {
+	if c.Expectations == nil || c.QuantileChecked == nil || !r.job.step(r.id.Task.Step).Gang && !r.job.sampledTask(r.id.Task) {
 		return
 	}
 	expected := c.expectation(r.job, r.id.Task.Step)
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -195,6 +195,9 @@
 	complete bool
 	// lastStarted is when the last member was confirmed.
 	lastStarted time.Time
+	// rack is that of some member, and spread is true if another member is on another rack.
+	rack   descriptor.RackID
+	spread bool
 }
 
 // gangPresence returns the presence of a task's gang, from the cache if possible.
@@ -210,9 +213,14 @@
 		if m == nil || !m.confirmed {
 			p.complete = false
 		}
-		if m != nil && m.started.After(p.lastStarted) {
+		if m == nil {
+			continue
+		}
+		if m.started.After(p.lastStarted) {
 			p.lastStarted = m.started
 		}
+		p.spread = p.spread || p.rack != "" && p.rack != m.worker.status.Rack
+		p.rack = m.worker.status.Rack
 	}
 	if j.gangPresences == nil {
 		j.gangPresences = map[stepOf]gangPresence{}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -123,6 +123,8 @@
 	sampledSteps map[int]bool
 	// stepRunTimes holds, by step, the run times projected from the progress of its tasks.
 	stepRunTimes map[int]*observedRunTimes
+	// expectedMeans caches, by step, the mean expected run times.
+	expectedMeans []expectedMean
 	// attemptChanges counts the changes of activeAttempts and of which attempts are confirmed.
 	attemptChanges int
 	// gangPresences caches, by occurrence and step, the presence of gangs.
