--- a/internal/leader/expectations.go
+++ b/internal/leader/expectations.go
@@ -34,6 +34,10 @@
 	writing bool
 	// writtenAt is when the last write began.
 	writtenAt time.Time
+	// checked counts the runs of this term whose time was compared with the expected quantiles, and below those that
+	// took less than each quantile.
+	checked int
+	below   map[float64]int
 }
 
 // learnRunTimes makes the planner of the term learn run times, if that is configured.
@@ -41,9 +45,16 @@
 	if !t.leader.LearnRunTimes {
 		return
 	}
-	t.expectations.estimator = &estimator.Estimator{}
-	t.core.Expectations = t.expectations.estimator
+	x := &t.expectations
+	x.estimator, x.below = &estimator.Estimator{}, map[float64]int{}
+	t.core.Expectations = x.estimator
 	t.core.QuantileChecked = func(quantile float64, below bool) {
+		if quantile == planner.CheckedQuantiles[0] {
+			x.checked++
+		}
+		if below {
+			x.below[quantile]++
+		}
 		t.leader.Metrics.Increment("run_time_quantile_total", "quantile", fmt.Sprint(quantile), "below", fmt.Sprint(below))
 	}
 }
@@ -129,8 +140,16 @@
 	return err
 }
 
-// logExpectations logs the expected run times of each queue, over all of its workspaces and step shapes.
+// logExpectations logs the expected run times of each queue, over all of its workspaces and step shapes, and how many
+// runs of this term took less than was expected.
 func (t *term) logExpectations(s estimator.Snapshot) {
+	if x := &t.expectations; x.checked > 0 {
+		details := []any{"fence", t.fence, "runs", x.checked}
+		for _, q := range planner.CheckedQuantiles {
+			details = append(details, quantileName(q), x.below[q])
+		}
+		t.leader.Log.Info("runs below the expected quantiles", details...)
+	}
 	for i := range s.Groups {
 		g := &s.Groups[i]
 		if !g.OfQueue() {
@@ -139,8 +158,11 @@
 		d := t.expectations.estimator.Estimate(estimator.Class{Queue: g.Queue}, 0)
 		details := []any{"queue", g.Queue, "samples", int(g.Scored), "mean", d.Mean().Round(time.Millisecond)}
 		for _, q := range planner.CheckedQuantiles {
-			details = append(details, fmt.Sprintf("p%.0f", 100*q), d.Quantile(q).Round(time.Millisecond))
+			details = append(details, quantileName(q), d.Quantile(q).Round(time.Millisecond))
 		}
 		t.leader.Log.Info("learned run times", details...)
 	}
 }
+
+// quantileName returns the name of a quantile in log lines, for instance p95.
+func quantileName(q float64) string { return fmt.Sprintf("p%.0f", 100*q) }
