planner: compares all tasks with their peers, and learns no spread from suspect workers

Cause: with 8 sampled tasks of a step the speeds of workers were learned from few, and a slow worker's tasks made tasks that are long by themselves seem common. Change: every task that ends is compared, those on suspect workers count for the speed only, 32 tasks of a step are sampled.

--- a/internal/estimator/speed.go
+++ b/internal/estimator/speed.go
@@ -46,24 +46,18 @@
 // known yet.
 const peerSigma = 0.3
 
-// AddComparison learns that a task takes ratio times as long on a worker as equal tasks do on others. The comparisons of
-// a task should be added once, with the last value that is known. Those that are censored, since the task was stopped,
-// do not count for the worker.
-func (e *Estimator) AddComparison(w descriptor.WorkerID, ratio float64, censored bool, at time.Time) {
+// AddComparison learns that a task took ratio times as long on a worker as equal tasks did on others. On a suspect worker
+// it counts for the worker's speed, and not for how unequal the tasks of a step are.
+func (e *Estimator) AddComparison(w descriptor.WorkerID, ratio float64, suspect bool, at time.Time) {
 	if !(ratio > 0) || math.IsInf(ratio, 1) {
 		return
 	}
 	s := &e.workers
-	b := bucketOf(ratio * e.Speed(w) * float64(defaultRunTime))
-	factor := float32(math.Exp2(-1.0 / (4 * halfLifeSamples)))
-	s.ratios.ended.scale(factor)
-	s.ratios.censored.scale(factor)
-	s.ratioCurve = nil
-	if censored {
-		s.ratios.censored[b]++
-		return
+	if !suspect {
+		s.ratios.ended.scale(float32(math.Exp2(-1.0 / (4 * halfLifeSamples))))
+		s.ratios.ended[bucketOf(ratio*e.Speed(w)*float64(defaultRunTime))]++
+		s.ratioCurve = nil
 	}
-	s.ratios.ended[b]++
 	speed := s.speedFor(w)
 	if !speed.updatedAt.IsZero() {
 		speed.count *= math.Exp2(-max(0, float64(at.Sub(speed.updatedAt))/float64(speedHalfLife)))
--- a/internal/planner/expectation.go
+++ b/internal/planner/expectation.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -17,7 +16,7 @@
 	// like maxTrustedError, it is the logarithm of a factor of about 1.6.
 	trustedMiss = maxTrustedError
 	// maxSampledTasks bounds the tasks of a step whose run times are learned; they share most of what there is to learn.
-	maxSampledTasks = 8
+	maxSampledTasks = 32
 	// manyWorkers is the number of workers of a step from which one of them hardly changes the median.
 	manyWorkers = 8
 	// slowWorkerChance is the chance that a worker is slow of which nothing else is known.
@@ -167,52 +166,68 @@
 // learnFromSuccess adds the run time of an attempt that has succeeded, and compares it with those of the other tasks of
 // the step. Of a gang, the first member that is known to have ended counts.
 func (c *Core) learnFromSuccess(r *attempt, now time.Time) {
-	if c.Expectations == nil || !r.job.step(r.id.Task.Step).Gang && !r.job.sampledTask(r.id.Task) {
+	if c.Expectations == nil {
 		return
 	}
 	sample := c.sampleOf(r, false, now)
-	c.checkQuantiles(r, sample.Elapsed)
-	c.compareWithPeers(r, sample.Elapsed, now)
-	c.Expectations.Add(sample)
+	if r.job.step(r.id.Task.Step).Gang {
+		c.compareGang(r, now)
+	} else {
+		c.compareWithPeers(r.worker, r, sample.Elapsed, now)
+	}
+	if r.job.step(r.id.Task.Step).Gang || r.job.sampledTask(r.id.Task) {
+		c.checkQuantiles(r, sample.Elapsed)
+		c.Expectations.Add(sample)
+	}
 }
 
-// compareWithPeers compares the run time of an attempt with those of the other tasks of the step. The members of a gang
-// end together, so the run times projected from their progress are compared.
-func (c *Core) compareWithPeers(r *attempt, elapsed time.Duration, now time.Time) {
+// compareGang compares the members of a gang. They end together, so the run times projected from their progress are
+// compared. r is the first member to end.
+func (c *Core) compareGang(r *attempt, now time.Time) {
 	observed := r.job.stepRunTimes[r.id.Task.Step]
 	if observed == nil {
 		return
 	}
-	if !r.job.step(r.id.Task.Step).Gang {
-		if peers := observed.medianExcept(r.worker.incarnation.Worker); peers > 0 {
-			c.Expectations.AddComparison(r.worker.incarnation.Worker, float64(elapsed)/float64(peers), false, now)
+	compared := map[*worker]bool{}
+	id := r.id.Task
+	for i := range r.job.step(id.Step).Count {
+		id.Index = i
+		m := r.job.activeAttempts[id]
+		if i == r.id.Task.Index {
+			m = r
 		}
-		return
-	}
-	for _, w := range slices.Sorted(maps.Keys(observed.byWorker)) {
-		peers := observed.medianOverall()
-		if len(observed.byWorker) < manyWorkers {
-			peers = observed.medianExcept(w)
+		if m == nil || compared[m.worker] {
+			continue
 		}
-		if peers > 0 {
-			c.Expectations.AddComparison(w, float64(observed.byWorker[w])/float64(peers), false, now)
+		compared[m.worker] = true
+		if projected := observed.byWorker[m.worker.incarnation.Worker]; projected > 0 {
+			c.compareWithPeers(m.worker, m, projected, now)
 		}
 	}
 }
 
+// compareWithPeers compares a run time on a worker with those of the other tasks of the step.
+func (c *Core) compareWithPeers(w *worker, r *attempt, elapsed time.Duration, now time.Time) {
+	observed := r.job.stepRunTimes[r.id.Task.Step]
+	if observed == nil {
+		return
+	}
+	peers := observed.medianOverall()
+	if len(observed.byWorker) < manyWorkers {
+		peers = observed.medianExcept(w.incarnation.Worker)
+	}
+	if peers > 0 {
+		c.Expectations.AddComparison(w.incarnation.Worker, float64(elapsed)/float64(peers), now.Before(w.suspectUntil), now)
+	}
+}
+
 // learnFromStop adds an attempt that is stopped as a censored sample, unless its worker is to blame for its duration.
-// Whether that holds for one that seems slow is not certain, so it is compared with the other tasks of its step.
 func (c *Core) learnFromStop(r *attempt, cause discardCause, now time.Time) {
 	if c.Expectations == nil || r.job == nil || !c.sampled(r) {
 		return
 	}
 	switch cause {
-	case causeStalled, causeWorkerLost:
-	case causeSlow:
-		w := r.worker.incarnation.Worker
-		if peers := r.job.stepRunTimes[r.id.Task.Step].medianExcept(w); peers > 0 {
-			c.Expectations.AddComparison(w, float64(c.nominalWork(r, now))/float64(peers), true, now)
-		}
+	case causeStalled, causeSlow, causeWorkerLost:
 	default:
 		c.Expectations.Add(c.sampleOf(r, true, now))
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -540,13 +540,15 @@
 // handleDone processes the success of an attempt. It clears the failures of the worker, which is no longer suspect
 // unless it is quarantined.
 func (c *Core) handleDone(j *job, e descriptor.AttemptEnd, r *attempt, w *worker, now time.Time) {
+	if r != nil && r.confirmed && r.checkpoint == "" {
+		c.learnFromSuccess(r, now)
+	}
 	w.failures, w.quarantinePeriod = nil, 0
 	if now.After(w.quarantinedUntil) {
 		w.suspectUntil = time.Time{}
 	}
 	if r != nil && r.confirmed && r.checkpoint == "" {
 		c.addRunTimeSample(j, e.Task.Step, now.Sub(r.started))
-		c.learnFromSuccess(r, now)
 	}
 	tasks := j.tasks(e.Task.Occurrence, e.Task.Step)
 	if !j.step(e.Task.Step).Gang {
