planner: a task that lags behind counts as long by itself only if a quarter of the tasks is as long

Cause: while few comparisons are known, one task on a worker that is not yet suspect made long tasks seem common. Change: a chance of 0.25 instead of 0.05.

--- a/internal/planner/expectation.go
+++ b/internal/planner/expectation.go
@@ -19,8 +19,9 @@
 	maxSampledTasks = 32
 	// manyWorkers is the number of workers of a step from which one of them hardly changes the median.
 	manyWorkers = 8
-	// slowWorkerChance is the chance that a worker is slow of which nothing else is known.
-	slowWorkerChance = 0.05
+	// longTaskChance is the chance of a task as long from which a task that lags behind counts as long by itself, when
+	// nothing else is known of its worker. It is high, since staying on a slow worker costs more than a needless move.
+	longTaskChance = 0.25
 	// sameStartMargin is how much earlier than another one an attempt may have started to have seen the same conditions on
 	// its worker.
 	sameStartMargin = 300 * time.Millisecond
@@ -262,7 +263,7 @@
 }
 
 // longByNature reports whether an attempt that takes longer than expected is more likely long by itself than on a slow
-// worker: other attempts on the worker run as expected, or tasks that are as long are not rare.
+// worker: other attempts on the worker run as expected, or tasks that are as long are common.
 func (c *Core) longByNature(r *attempt, projected time.Duration) bool {
 	if c.Expectations == nil {
 		return false
@@ -293,7 +294,7 @@
 	} else {
 		chance = 1 - c.expectation(r.job, r.id.Task.Step).ChanceWithin(0, time.Duration(float64(projected)/c.placementFactor(r)))
 	}
-	return chance > slowWorkerChance
+	return chance > longTaskChance
 }
 
 // runTimeRatio returns the projected run time of an attempt over that of its peers.
