planner: attempts of a former leader count as censored

Cause: when they began is not known to the next leader, so they seemed shorter than they were. Change: their ends add censored samples and no comparisons, and they are left out of the check of quantiles.

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -50,7 +50,8 @@
 
 // Shape is the size of a step in steps of a factor of two, so that similar steps share their samples.
 type Shape struct {
-	// Accelerators, Cores and Count are the bit lengths of the accelerators and full cores of a task, and of the tasks of the step.
+	// Accelerators, Cores and Count are the bit lengths of the accelerators and full cores of a task, and of the tasks of
+	// the step.
 	Accelerators, Cores, Count uint8
 	Gang                       bool
 }
--- a/internal/planner/expectation.go
+++ b/internal/planner/expectation.go
@@ -165,12 +165,19 @@
 }
 
 // learnFromSuccess adds the run time of an attempt that has succeeded, and compares it with those of the other tasks of
-// the step. Of a gang, the first member that is known to have ended counts.
+// the step. Of a gang, the first member that is known to have ended counts. An
+// adopted attempt has run for at least as long as this leader knows of it.
 func (c *Core) learnFromSuccess(r *attempt, now time.Time) {
 	if c.Expectations == nil {
 		return
 	}
-	sample := c.sampleOf(r, false, now)
+	sample := c.sampleOf(r, r.adopted, now)
+	if r.adopted {
+		if r.job.sampledTask(r.id.Task) {
+			c.Expectations.Add(sample)
+		}
+		return
+	}
 	if r.job.step(r.id.Task.Step).Gang {
 		c.compareGang(r, now)
 	} else {
@@ -305,7 +312,7 @@
 
 // noteExpectedQuantiles keeps the expected run time of an attempt that was confirmed, to be compared with the actual one.
 func (c *Core) noteExpectedQuantiles(r *attempt) {
-	if c.Expectations == nil || c.QuantileChecked == nil || !r.job.step(r.id.Task.Step).Gang && !r.job.sampledTask(r.id.Task) {
+	if c.Expectations == nil || c.QuantileChecked == nil || r.adopted || !r.job.step(r.id.Task.Step).Gang && !r.job.sampledTask(r.id.Task) {
 		return
 	}
 	expected := c.expectation(r.job, r.id.Task.Step)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -171,6 +171,8 @@
 	// placed is when the planner placed the attempt or took it over; started is when the attempt was confirmed.
 	placed  time.Time
 	started time.Time
+	// adopted is true for an attempt that a former leader placed. When it began is not known then.
+	adopted bool
 	// startDeadline is the worker clock after which an unanswered start cannot take effect. It is 0 for attempts placed
 	// by a former leader, whose orders the worker refuses.
 	startDeadline descriptor.WorkerClock
@@ -257,7 +259,7 @@
 		c.dirty[id.Job] = true
 		return
 	}
-	c.addAttempt(j, id, t, w, now)
+	c.addAttempt(j, id, t, w, now).adopted = true
 }
 
 // addAttempt adds the current attempt of a placed task to its job and worker.
