--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -58,9 +58,9 @@
 
 // ShapeOf returns the shape of a step.
 func ShapeOf(s *descriptor.Step) Shape {
+	size := func(n int) uint8 { return uint8(bits.Len(uint(max(n, 0)))) }
 	return Shape{
-		Accelerators: uint8(bits.Len64(uint64(max(s.Size.Accelerators, 0)))), Cores: uint8(bits.Len64(uint64(max(s.Size.Cores, 0)) / 1000)),
-		Count: uint8(bits.Len64(uint64(max(s.Count, 0)))), Gang: s.Gang,
+		Accelerators: size(int(s.Size.Accelerators)), Cores: size(int(s.Size.Cores) / 1000), Count: size(s.Count), Gang: s.Gang,
 	}
 }
 
--- a/internal/estimator/snapshot.go
+++ b/internal/estimator/snapshot.go
@@ -85,13 +85,16 @@
 // Snapshot returns what was learned last, bounded in size. now is the current time.
 func (e *Estimator) Snapshot(now time.Time) Snapshot {
 	s := Snapshot{Version: snapshotVersion, Taken: now, Ratios: snapshotOf(&e.workers.ratios, 1)}
-	newest := slices.SortedFunc(maps.Keys(e.groups), func(a, b groupKey) int { return cmp.Compare(e.groups[b].order, e.groups[a].order) })
+	newest := slices.SortedFunc(maps.Keys(e.groups), func(a, b groupKey) int {
+		return cmp.Compare(e.groups[b].order, e.groups[a].order)
+	})
 	newest = newest[:min(len(newest), maxSnapshotGroups)]
 	slices.SortFunc(newest, compareKeys)
 	for _, k := range newest {
 		g := e.groups[k]
 		stored := GroupSnapshot{
-			Level: uint8(k.Level), Queue: k.Queue, Workspace: k.Workspace, Shape: k.Shape, Scores: g.scores[:], Scored: g.scored, UpdatedAt: g.updatedAt,
+			Level: uint8(k.Level), Queue: k.Queue, Workspace: k.Workspace, Shape: k.Shape,
+			Scores: g.scores[:], Scored: g.scored, UpdatedAt: g.updatedAt,
 		}
 		freshness := float32(g.freshness(k.Level, e.groups[keyOf(levelQueue, k.Class)]))
 		for i := range g.histograms {
@@ -100,12 +103,16 @@
 		s.Groups = append(s.Groups, stored)
 	}
 	byWorker := e.workers.byWorker
-	workers := slices.SortedFunc(maps.Keys(byWorker), func(a, b descriptor.WorkerID) int { return cmp.Compare(byWorker[b].order, byWorker[a].order) })
+	workers := slices.SortedFunc(maps.Keys(byWorker), func(a, b descriptor.WorkerID) int {
+		return cmp.Compare(byWorker[b].order, byWorker[a].order)
+	})
 	workers = workers[:min(len(workers), maxSnapshotWorkers)]
 	slices.Sort(workers)
 	for _, w := range workers {
 		speed := byWorker[w]
-		s.Workers = append(s.Workers, WorkerSnapshot{Worker: w, Slowness: speed.slowness, Count: speed.count, UpdatedAt: speed.updatedAt})
+		s.Workers = append(s.Workers, WorkerSnapshot{
+			Worker: w, Slowness: speed.slowness, Count: speed.count, UpdatedAt: speed.updatedAt,
+		})
 	}
 	return s
 }
@@ -205,7 +212,9 @@
 		return errName
 	case e.workers.byWorker[s.Worker] != nil:
 		return errTwice
-	case !inRange(s.Slowness, -limit, limit) || !inRange(s.Count, 0, 1/speedWeight) || s.UpdatedAt.After(now.Add(maxFutureTime)):
+	case !inRange(s.Slowness, -limit, limit) || !inRange(s.Count, 0, 1/speedWeight):
+		return errNumber
+	case s.UpdatedAt.After(now.Add(maxFutureTime)):
 		return errNumber
 	}
 	speed := e.workers.speedFor(s.Worker)
--- a/internal/leader/expectations.go
+++ b/internal/leader/expectations.go
@@ -91,11 +91,12 @@
 	}
 	if err != nil {
 		t.leader.Metrics.Increment("expectations_refused_total")
-		t.leader.Log.Warn("stored run times not usable, learning anew", "revision", i.Revision, "bytes", len(i.Value), "err", err)
+		t.leader.Log.Warn("stored run times not usable, learning anew",
+			"revision", i.Revision, "bytes", len(i.Value), "err", err)
 		return
 	}
-	t.leader.Log.Info("learned run times taken over", "revision", i.Revision, "bytes", len(i.Value), "age", now.Sub(s.Taken).Round(time.Millisecond),
-		"groups", len(s.Groups), "workers", len(s.Workers))
+	t.leader.Log.Info("learned run times taken over", "revision", i.Revision, "bytes", len(i.Value),
+		"age", now.Sub(s.Taken).Round(time.Millisecond), "groups", len(s.Groups), "workers", len(s.Workers))
 }
 
 func decodeSnapshot(i archiver.Item) (estimator.Snapshot, error) {
--- a/internal/planner/expectation.go
+++ b/internal/planner/expectation.go
@@ -37,7 +37,8 @@
 
 // classOf returns the class of the tasks of step s.
 func classOf(j *job, s int) estimator.Class {
-	return estimator.Class{Queue: j.record.Workload.Queue, Workspace: j.record.Workload.Workspace, Shape: estimator.ShapeOf(j.step(s))}
+	w := &j.record.Workload
+	return estimator.Class{Queue: w.Queue, Workspace: w.Workspace, Shape: estimator.ShapeOf(j.step(s))}
 }
 
 // expectation returns what to expect of the run time of a task of step s on a worker of speed 1.
@@ -133,7 +134,8 @@
 		return math.Erfc(-math.Log(float64(within)/float64(rest))/(sigma*math.Sqrt2)) / 2
 	}
 	slowdown := c.placementFactor(r) / c.workerSpeed(r.worker)
-	return c.expectation(r.job, r.id.Task.Step).ChanceWithin(max(0, c.nominalWork(r, now)), time.Duration(float64(within)/slowdown))
+	worked := max(0, c.nominalWork(r, now))
+	return c.expectation(r.job, r.id.Task.Step).ChanceWithin(worked, time.Duration(float64(within)/slowdown))
 }
 
 // endsBefore reports whether an attempt is expected to end before a time from now has passed.
@@ -295,13 +297,11 @@
 	if normal != slow {
 		return normal > slow
 	}
-	chance := 0.0
+	length := float64(projected) / c.placementFactor(r)
 	if peers := r.job.stepRunTimes[r.id.Task.Step].medianExcept(r.worker.incarnation.Worker); peers > 0 {
-		chance = c.Expectations.ChanceAgainstPeers(float64(projected) / (float64(peers) * c.placementFactor(r)))
-	} else {
-		chance = 1 - c.expectation(r.job, r.id.Task.Step).ChanceWithin(0, time.Duration(float64(projected)/c.placementFactor(r)))
+		return c.Expectations.ChanceAgainstPeers(length/float64(peers)) > longTaskChance
 	}
-	return chance > longTaskChance
+	return 1-c.expectation(r.job, r.id.Task.Step).ChanceWithin(0, time.Duration(length)) > longTaskChance
 }
 
 // runTimeRatio returns the projected run time of an attempt over that of its peers.
@@ -312,7 +312,7 @@
 
 // noteExpectedQuantiles keeps the expected run time of an attempt that was confirmed, to be compared with the actual one.
 func (c *Core) noteExpectedQuantiles(r *attempt) {
-	if c.Expectations == nil || c.QuantileChecked == nil || r.adopted || !r.job.step(r.id.Task.Step).Gang && !r.job.sampledTask(r.id.Task) {
+	if c.Expectations == nil || c.QuantileChecked == nil || r.adopted || r.job.step(r.id.Task.Step).Service {
 		return
 	}
 	expected := c.expectation(r.job, r.id.Task.Step)
