--- a/cmd/persimmontrail-node/main.go
+++ b/cmd/persimmontrail-node/main.go
@@ -76,8 +76,10 @@
 	settings platform.Settings
 	// announcedAddress is the address at which other processes reach this one.
 	announcedAddress string
-	log              *log.Logger
-	metrics          *recorder.Metrics
+	// learnRunTimes makes the leader learn the run times of tasks and the speeds of workers.
+	learnRunTimes bool
+	log           *log.Logger
+	metrics       *recorder.Metrics
 	// guard bounds what the clients of all servers take together.
 	guard        *limiter.Guard
 	servers      sync.WaitGroup
@@ -92,6 +94,7 @@
 	clientMemory := flags.Int64("client-memory", 0, "`MiB` of memory that all clients together can take; 0 means a quarter of the VM's memory")
 	stallTimeout := flags.Duration("stall-timeout", limiter.DefaultStallTimeout, "`time` without progress after which a body or an answer is given up")
 	bodyTimeout := flags.Duration("body-timeout", limiter.DefaultBodyTimeout, "`time` in which a client must send a body")
+	learnRunTimes := flags.Bool("learn-run-times", false, "entries: learn the run times of tasks and the speeds of workers from runs, and plan by them")
 	return &ffcli.Command{
 		Name: name, ShortUsage: "persimmontrail-node " + name + " [flags]", ShortHelp: help,
 		LongHelp: "Each flag can be set by an environment variable, for instance PERSIMMONTRAIL_ANNOUNCE.",
@@ -116,7 +119,7 @@
 			}
 			debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(limits.VMMemory)))
 			p := &process{
-				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), log: logger,
+				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), learnRunTimes: *learnRunTimes, log: logger,
 				metrics: &recorder.Metrics{}, serverErrors: make(chan error, 8),
 			}
 			p.guard = &limiter.Guard{Limits: limits, Log: logger, Metrics: p.metrics}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -61,6 +61,8 @@
 	// discarded holds the core-seconds of work lost in this term, by cause; discardLogAt is when they were last logged.
 	discarded    map[string]float64
 	discardLogAt time.Time
+	// expectations holds what the planner has learned about run times.
+	expectations expectations
 	// pendingStops are stop orders that follow from reports; the next round sends them.
 	pendingStops []planner.Order
 	// linkCtx is the context of run, kept for links that are opened later and for calls with orders.
@@ -87,6 +89,7 @@
 		ld.Metrics.Increment("worker_health_changes_total", "to", change.To.String(), "reason", change.Reason)
 	}
 	t.core.Contended = func(outcome string) { ld.Metrics.Add("room_searches_total", 1, "outcome", outcome) }
+	t.learnRunTimes()
 	t.core.LogEvent = func(message string, job descriptor.JobID, details ...any) {
 		ld.Log.Info(message, append([]any{"job", job, "fence", fence}, details...)...)
 	}
@@ -119,6 +122,7 @@
 // term ended.
 func (t *term) run(ctx context.Context) error {
 	t.linkCtx = ctx
+	t.readExpectations(ctx)
 	if err := t.load(ctx); err != nil {
 		return err
 	}
@@ -335,6 +339,7 @@
 	t.sendOrders(orders, time.Now())
 	t.removeEnded(ctx, start)
 	t.logDiscarded(start)
+	t.writeExpectations(ctx, start)
 	return nil
 }
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -59,6 +59,7 @@
 		c.currentJob = j.id()
 		orders = append(orders, c.stopUnwanted(j, now)...)
 	}
+	c.sampleRunning(now)
 	orders = append(orders, c.stopStalledAndSlow(now)...)
 	orders = append(orders, c.stopOnDraining(now)...)
 	if c.reserve.updated.IsZero() {
@@ -138,6 +139,7 @@
 	if !r.stopping {
 		r.stopCause = cause
 		r.noteGangEnd(cause)
+		c.learnFromStop(r, cause, now)
 	}
 	r.stopping, r.stopOrderedAt = true, now
 	c.planBy(now.Add(stopRetryInterval))
@@ -201,6 +203,9 @@
 	complete bool
 	// lastStarted is when the last member was confirmed.
 	lastStarted time.Time
+	// rack is that of some member, and spread is true if another member is on another rack.
+	rack   descriptor.RackID
+	spread bool
 }
 
 // gangPresence returns the presence of a task's gang, from the cache if possible.
@@ -216,9 +221,14 @@
 		if m == nil || !m.confirmed {
 			p.complete = false
 		}
-		if m != nil && m.started.After(p.lastStarted) {
+		if m == nil {
+			continue
+		}
+		if m.started.After(p.lastStarted) {
 			p.lastStarted = m.started
 		}
+		p.spread = p.spread || p.rack != "" && p.rack != m.worker.status.Rack
+		p.rack = m.worker.status.Rack
 	}
 	if j.gangPresences == nil {
 		j.gangPresences = map[stepOf]gangPresence{}
@@ -281,7 +291,7 @@
 		}
 		left := time.Duration(w.status.DrainRemaining)*time.Millisecond - now.Sub(w.lastReportAt)
 		for _, r := range w.attempts {
-			if r.stopping || r.job == nil || c.remainingRunTime(r, now) < left {
+			if r.stopping || r.job == nil || c.endsBefore(r, left, now) {
 				continue
 			}
 			orders = append(orders, c.orderStop(r, now, causeDraining, fmt.Sprintf("draining worker leaves in %v", left.Round(time.Millisecond)))...)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -30,6 +30,7 @@
 
 	"persimmontrail/internal/assessor"
 	"persimmontrail/internal/balancer"
+	"persimmontrail/internal/estimator"
 	"persimmontrail/pkg/descriptor"
 )
 
@@ -78,6 +79,14 @@
 	// Contended is called with the outcome of each search for work to stop for an urgent group without room, "Preempted" or
 	// "Denied"; it may be nil.
 	Contended func(outcome string)
+	// Expectations learns run times and the speeds of workers; nil means that the moving means of each queue are used.
+	Expectations *estimator.Estimator
+	// QuantileChecked is called when an attempt has succeeded, for each of CheckedQuantiles that was expected of its run
+	// time, and tells whether the run time was below it; it may be nil.
+	QuantileChecked func(quantile float64, below bool)
+	// TrueRunTime returns the run time of a step's longest task, for simulations of a planner that knows it; nil means
+	// that run times are estimated.
+	TrueRunTime func(job descriptor.JobID, step int) time.Duration
 
 	jobs map[descriptor.JobID]*job
 	// activeJobs holds the workloads that were not finished at the last plan or were added since, sorted by id.
@@ -110,6 +119,8 @@
 	// lastRefusalAt is when the last start was refused; refusalGrid is the origin of the grid of refusalPlanInterval.
 	lastRefusalAt time.Time
 	refusalGrid   time.Time
+	// runningSampledAt is when the running attempts were last passed to Expectations.
+	runningSampledAt time.Time
 	// currentJob is the workload that is being processed. It names the one at fault when the planner panics.
 	currentJob descriptor.JobID
 }
@@ -128,6 +139,8 @@
 	sampledSteps map[int]bool
 	// stepRunTimes holds, by step, the run times projected from the progress of its tasks.
 	stepRunTimes map[int]*observedRunTimes
+	// expectedMeans caches, by step, the mean expected run times.
+	expectedMeans []expectedMean
 	// attemptChanges counts the changes of activeAttempts and of which attempts are confirmed.
 	attemptChanges int
 	// gangPresences caches, by occurrence and step, the presence of gangs.
@@ -172,6 +185,8 @@
 	// placed is when the planner placed the attempt or took it over; started is when the attempt was confirmed.
 	placed  time.Time
 	started time.Time
+	// adopted is true for an attempt that a former leader placed. When it began is not known then.
+	adopted bool
 	// startDeadline is the worker clock after which an unanswered start cannot take effect. It is 0 for attempts placed
 	// by a former leader, whose orders the worker refuses.
 	startDeadline descriptor.WorkerClock
@@ -194,6 +209,9 @@
 	firstListed descriptor.WorkerClock
 	// lastProgress is the worker clock at which percent last changed.
 	lastProgress descriptor.WorkerClock
+	// expectedQuantiles holds the CheckedQuantiles that were expected of the run time when the attempt was confirmed; nil
+	// without Expectations.
+	expectedQuantiles []time.Duration
 	// checkpointAt is when checkpoint last changed.
 	checkpointAt time.Time
 	// checkpoint is the newest checkpoint that is known; empty when there is none.
@@ -261,7 +279,7 @@
 		c.dirty[id.Job] = true
 		return
 	}
-	c.addAttempt(j, id, t, w, now)
+	c.addAttempt(j, id, t, w, now).adopted = true
 }
 
 // addAttempt adds the current attempt of a placed task to its job and worker.
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -58,8 +58,12 @@
 	r.worker.speed = samples
 }
 
-// workerSpeed returns the speed of a worker; 1 is that of most workers.
+// workerSpeed returns the speed of a worker; 1 is that of most workers. Without Expectations it is that of the tasks
+// which this leader has seen on the worker.
 func (c *Core) workerSpeed(w *worker) float64 {
+	if c.Expectations != nil {
+		return c.Expectations.Speed(w.incarnation.Worker)
+	}
 	s := w.speed.decayed(c.plannedAt)
 	return math.Exp(s.sum / (s.weight + speedPrior))
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -229,6 +229,7 @@
 	if r.job == nil {
 		return
 	}
+	c.noteExpectedQuantiles(r)
 	r.job.attemptChanges++
 	if !r.job.progress.Begun {
 		r.job.progress.Begun = true
@@ -531,6 +532,7 @@
 		c.health.Succeeded(w.healthID(), assessor.JobID(j.id()), r.started, now)
 	}
 	if r != nil && r.confirmed && r.checkpoint == "" {
+		c.learnFromSuccess(r, now)
 		c.addRunTimeSample(j, e.Task.Step, now.Sub(r.started))
 	}
 	tasks := j.tasks(e.Task.Occurrence, e.Task.Step)
--- a/internal/simulator/load.go
+++ b/internal/simulator/load.go
@@ -97,6 +97,11 @@
 	Failing   []Failing
 	// SpeedSpread is the standard deviation of the logarithm of the workers' own speeds, whose mean is 1.
 	SpeedSpread float64
+	// LearnRunTimes lets the planner learn the distributions of run times and the speeds of workers.
+	LearnRunTimes bool
+	// RunTimesKnown tells the planner the true run times. No deployment can do this; it bounds what better expectations
+	// can gain.
+	RunTimesKnown bool
 	// Guaranteed is the number of guaranteed accelerators of each workspace. Each workload belongs to a workspace that
 	// is drawn with equal probability.
 	Guaranteed []descriptor.Accelerators
