admitter: an entry without room for a call has not looked at it

Change: status 503 between entries means that the call was not looked at. Measured: TestBusyPeerDoesNotChangeRefusal passes, and with it the tests of the admitter.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -253,6 +253,21 @@
 	assert.Equal(t, len(a.peers()), 0)
 }
 
+// TestBusyPeerDoesNotChangeRefusal guards against an unknown outcome, and against an entry that is left out of later
+// calls, because that entry had no room for a call and did not look at it.
+func TestBusyPeerDoesNotChangeRefusal(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	m := &memoryStore{}
+	m.put(archiver.EntryKey("busy"), archiver.Encode(archiver.Member{Node: "busy", Address: strings.TrimPrefix(server.URL, "http://")}))
+	a := newAdmitter(t, m)
+	m.commitFault = func() error { return archiver.ErrUnavailable }
+	assert.Equal(t, a.Serve(t.Context(), submitCall("j")).Code, CodeRefused)
+	assert.Equal(t, len(a.peers()), 1)
+}
+
 // TestDialTimeoutIsNotSent guards against an unknown outcome for a call that was never sent: if the deadline passes
 // while the connection is being established, the error is that of the deadline, which looks like a lost answer.
 func TestDialTimeoutIsNotSent(t *testing.T) {
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -71,6 +72,9 @@
 		r, err := a.callPeer(ctx, m, c)
 		if err != nil {
 			a.Log.Info("entry did not answer", "node", m.Node, "job", c.Workload.ID, "err", err)
+			if errors.Is(err, errPeerBusy) {
+				continue
+			}
 			a.markUnreachable(m)
 			if !connector.NotSent(err) && c.Action == ActionSubmit {
 				unknownReply = Reply{Code: CodeUnknown, Reason: "entry " + m.Node + " did not answer"}
@@ -240,7 +244,7 @@
 	repeated := connector.OnReused(err) && hasTime(ctx, minPeerCallTime)
 	if repeated {
 		a.Log.Info("call repeated on a new connection", "node", m.Node, "job", c.Workload.ID, "err", err)
-		if data, err = a.postToPeer(ctx, m.Address, CallPath, body, timeout); connector.NotSent(err) {
+		if data, err = a.postToPeer(ctx, m.Address, CallPath, body, timeout); connector.NotSent(err) || errors.Is(err, errPeerBusy) {
 			// The first call was sent.
 			err = fmt.Errorf("repeated call: %s", err)
 		}
@@ -263,6 +267,9 @@
 	return !ok || time.Until(deadline) >= d
 }
 
+// errPeerBusy means that another entry had no room for a call and did not look at it.
+var errPeerBusy = errors.New("entry has no room for the call")
+
 // postToPeer posts body to another entry and returns the body of its response.
 func (a *Admitter) postToPeer(ctx context.Context, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -275,6 +282,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if response.Status == http.StatusServiceUnavailable {
+		return nil, errPeerBusy
+	}
 	if response.Status != http.StatusOK {
 		return nil, fmt.Errorf("entry answered with status %d", response.Status)
 	}
