--- a/internal/planner/expectation.go
+++ b/internal/planner/expectation.go
@@ -20,8 +20,8 @@
 	// manyWorkers is the number of workers of a step from which one of them hardly changes the median.
 	manyWorkers = 8
 	// longTaskChance is the chance of a task as long from which a task that lags behind counts as long by itself, when
-	// nothing else is known of its worker. It is high, since staying on a slow worker costs more than a needless move.
-	longTaskChance = 0.25
+	// nothing else is known of its worker.
+	longTaskChance = 0.05
 	// sameStartMargin is how much earlier than another one an attempt may have started to have seen the same conditions on
 	// its worker.
 	sameStartMargin = 300 * time.Millisecond
@@ -272,7 +272,7 @@
 }
 
 // longByNature reports whether an attempt that takes longer than expected is more likely long by itself than on a slow
-// worker: other attempts on the worker run as expected, or tasks that are as long are common.
+// worker: other attempts on the worker run as expected, or tasks that are as long are not rare.
 func (c *Core) longByNature(r *attempt, projected time.Duration) bool {
 	if c.Expectations == nil {
 		return false
