--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -34,8 +34,6 @@
 	fleet []*worker
 	// health holds the health of each worker of the fleet.
 	health map[*worker]assessor.State
-	// slownessOf caches slowness.
-	slownessOf map[*worker]int
 	// busyServices caches serviceBusy.
 	busyServices map[descriptor.ServiceID]bool
 	// withinGuarantee is the set of workloads inside their workspace's guarantee.
@@ -62,7 +60,7 @@
 func (c *Core) newPass(now time.Time) *pass {
 	p := &pass{core: c, now: now, room: map[*worker]descriptor.Capacity{}, releasing: map[*worker]descriptor.Capacity{}}
 	p.health, p.busyServices = map[*worker]assessor.State{}, map[descriptor.ServiceID]bool{}
-	p.slownessOf, c.plannedAt = map[*worker]int{}, now
+	c.plannedAt = now
 	attempts := 0
 	for _, w := range c.sortedWorkers() {
 		if c.usable(w, now) {
@@ -71,6 +69,7 @@
 			p.room[w] = w.free()
 			p.releasing[w] = w.stoppingCapacity()
 			p.assessHealth(w)
+			w.slowness = c.slownessOf(w)
 			if p.startsPaused(w) {
 				p.withholdRoom(w)
 			}
@@ -191,7 +190,7 @@
 			continue
 		}
 		left := freeFractionSum(p.room[w].Minus(need), w.status.Capacity)
-		if best == nil || cmp.Or(cmp.Compare(p.health[w], p.health[best]), cmp.Compare(p.slowness(w), p.slowness(best)),
+		if best == nil || cmp.Or(cmp.Compare(p.health[w], p.health[best]), cmp.Compare(w.slowness, best.slowness),
 			cmp.Compare(left, bestLeft)) < 0 {
 			best, bestLeft = w, left
 		}
@@ -406,7 +405,7 @@
 		for _, w := range pool {
 			left += freeFractionSum(p.room[w], w.status.Capacity)
 		}
-		health, slowness := p.worstHealth(ws), slices.Max(p.slownesses(ws))
+		health, slowness := p.worstHealth(ws), slices.Max(slownesses(ws))
 		if best == nil || cmp.Or(cmp.Compare(health, bestHealth), cmp.Compare(slowness, bestSlowness), cmp.Compare(left, bestLeft)) < 0 {
 			best, bestLeft, bestSlowness, bestHealth = ws, left, slowness, health
 		}
@@ -427,20 +426,20 @@
 		pool = slices.DeleteFunc(slices.Clone(pool), p.startsPaused)
 	}
 	if sound, partly := p.sound(pool); partly {
-		if ws := p.packFastest(sound, room, need, n, perWorkerLimit(step)); ws != nil {
+		if ws := packFastest(sound, room, need, n, perWorkerLimit(step)); ws != nil {
 			return ws
 		}
 	}
-	return p.packFastest(pool, room, need, n, perWorkerLimit(step))
+	return packFastest(pool, room, need, n, perWorkerLimit(step))
 }
 
 // packFastest is pack on the fastest workers of a pool that are enough, since a gang ends with its slowest member.
-func (p *pass) packFastest(pool []*worker, room func(*worker) descriptor.Capacity, need descriptor.Capacity, n, limit int) placement {
-	slownesses := p.slownesses(pool)
+func packFastest(pool []*worker, room func(*worker) descriptor.Capacity, need descriptor.Capacity, n, limit int) placement {
+	slownesses := slownesses(pool)
 	for i, most := range slownesses {
 		workers := pool
 		if i < len(slownesses)-1 {
-			workers = slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return p.slowness(w) > most })
+			workers = slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return w.slowness > most })
 		}
 		if ws := pack(workers, room, need, n, limit); ws != nil {
 			return ws
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -66,6 +66,9 @@
 // Core holds the state of the planner. Create it with New.
 type Core struct {
 	Limits Limits
+	// PreferFast makes placement take workers that were measured to be slower than most last. By default the fit alone
+	// decides among sound workers.
+	PreferFast bool
 	// LogEvent is called, for logging, when an attempt ends or is removed, a workload becomes final or the health of a
 	// worker changes; it may be nil.
 	LogEvent func(message string, job descriptor.JobID, details ...any)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -688,6 +688,7 @@
 // to the faster workers first.
 func TestGangsAndWideStepsTakeFastWorkers(t *testing.T) {
 	f := newFixture(t, 3)
+	f.core.PreferFast = true
 	for _, id := range []descriptor.JobID{"first", "second", "third", "fourth", "fifth"} {
 		f.submit(id, 9, 8, 10*time.Second, priority(1))
 		f.planAndApply()
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -64,22 +64,21 @@
 	return math.Exp(s.sum / (s.weight + speedPrior))
 }
 
-// slowness returns a number that is larger the slower a worker is. It is 0 for all workers that are not slower than most,
-// since the fit goes before a small gain.
-func (p *pass) slowness(w *worker) int {
-	n, known := p.slownessOf[w]
-	if !known {
-		n = max(0, -int(math.Round(math.Log(p.core.workerSpeed(w))/speedAccuracy)))
-		p.slownessOf[w] = n
+// slownessOf returns a number that is larger the slower a worker is. It is 0 for all workers that are not slower than most,
+// since the fit goes before a small gain, and
+// without PreferFast.
+func (c *Core) slownessOf(w *worker) int {
+	if !c.PreferFast || w.speed.weight == 0 {
+		return 0
 	}
-	return n
+	return max(0, -int(math.Round(math.Log(c.workerSpeed(w))/speedAccuracy)))
 }
 
 // slownesses returns the distinct slownesses of a pool, the smallest first.
-func (p *pass) slownesses(pool []*worker) []int {
+func slownesses(pool []*worker) []int {
 	var all []int
 	for _, w := range pool {
-		if n := p.slowness(w); !slices.Contains(all, n) {
+		if n := w.slowness; !slices.Contains(all, n) {
 			all = append(all, n)
 		}
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -56,6 +56,8 @@
 	quarantinedUntil time.Time
 	// speed holds the samples of the speed of this incarnation.
 	speed speedSamples
+	// slowness is slownessOf the worker at the last plan.
+	slowness int
 	// startsPausedUntil is when the worker may get a start again after it has refused one.
 	startsPausedUntil time.Time
 	// refusalPause is the length of the last such pause; 0 after the worker has accepted a start.
