--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -3,14 +3,18 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +58,7 @@
 	flags.IntVar(&c.options.Callers, "callers", 4, "number of callers of a run")
 	flags.DurationVar(&c.options.Load, "load", 12*time.Second, "how long callers submit jobs and faults are injected")
 	flags.BoolVar(&c.options.OrdersInHeartbeats, "heartbeat-orders", false, "workers take their orders from the answers to their heartbeats")
+	flags.BoolVar(&c.options.HardLoad, "hard-load", true, "uneven workers, long tasks, rushes, grey and flapping workers, and hostile crowds; without it, a seed plays as before 2026-12-07")
 	flags.StringVar(&c.options.Program, "program", "", "path of the node program; built when empty")
 	flags.StringVar(&c.logDir, "keep", "soak-logs", "directory for the logs of runs that broke a promise")
 	return &ffcli.Command{
@@ -111,6 +116,15 @@
 	return errors.Join(failures...)
 }
 
+// formatDiscarded lists core-seconds by cause, each after a space.
+func formatDiscarded(work map[string]float64) string {
+	var b strings.Builder
+	for _, cause := range slices.Sorted(maps.Keys(work)) {
+		fmt.Fprintf(&b, " %s %.0f", cause, work[cause])
+	}
+	return cmp.Or(b.String(), " none")
+}
+
 // runSeed runs the soak with one seed and prints its findings, the broken promises. If there are any, it also prints the
 // injected faults and copies the logs of the processes to logDir. The mutex keeps the output of parallel runs apart.
 func (c *command) runSeed(ctx context.Context, dir string, seed uint64, mu *sync.Mutex) error {
@@ -128,6 +142,8 @@
 	}
 	fmt.Printf("seed %d: %d jobs accepted, %d refused, %d done; %d attempts; %d faults; %d findings\n",
 		seed, r.Accepted, r.Refused, r.Done, r.Attempts, len(r.Faults), len(r.Violations))
+	fmt.Printf("    entries: at most %d MB, %d descriptors; %.0f reports set aside; core-seconds discarded:%s\n",
+		r.PeakMemory>>20, r.PeakDescriptors, r.SetAside, formatDiscarded(r.DiscardedWork))
 	if len(r.Violations) == 0 {
 		return os.RemoveAll(o.Dir)
 	}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -105,12 +105,24 @@
 		unfinished = c.cancelAndPoll(ctx, unfinished)
 		pause(loadCtx, time.Duration(c.random.ExpFloat64()*float64(meanJobPause)))
 	}
-	for deadline := time.Now().Add(maxFaultTime + maxSettleTime); len(unfinished) > 0 && time.Now().Before(deadline) && ctx.Err() == nil; {
+	c.settle(ctx, unfinished, time.Now().Add(maxFaultTime+maxSettleTime))
+}
+
+// settle polls jobs until all have ended or the deadline has passed.
+func (c *caller) settle(ctx context.Context, unfinished []*submission, deadline time.Time) {
+	for len(unfinished) > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		unfinished = c.cancelAndPoll(ctx, unfinished)
 		pause(ctx, pollInterval)
 	}
 }
 
+// close closes the connections that are not in use.
+func (c *caller) close() {
+	for _, client := range c.clients {
+		client.CloseIdleConnections()
+	}
+}
+
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -142,6 +154,7 @@
 		addStep(descriptor.Step{Count: 1, Size: size, After: []int{0}})
 	}
 	c.reshape(job)
+	job.Tail = c.deployment.hardLoad.jobTail()
 	c.deployment.fleet.AddJob(job)
 	s := &submission{job: job, queue: c.random.IntN(2), refused: true}
 	if c.random.Float64() < cancelShare {
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -99,6 +99,7 @@
 // the callers, the operator and the faults have ended.
 func (ck *checker) result(dp *deployment, injected []string) Result {
 	summary := Result{Seed: dp.Seed, Faults: injected}
+	dp.monitor.summarize(&summary)
 	starts := dp.fleet.Starts()
 	summary.Attempts = len(starts)
 	lastStarts := map[descriptor.JobID]time.Time{}
--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -238,5 +238,6 @@
 		}
 		a.signal(syscall.SIGCONT)
 		a.worker.SetTaskFaults(false, false)
+		a.worker.SetFailShare(0)
 	}
 }
--- a/internal/soaker/operator.go
+++ b/internal/soaker/operator.go
@@ -28,6 +28,8 @@
 	evacuationDuration = 7 * time.Second
 	// maxAttempts is the number of failures after which a task or gang of a job is not started again.
 	maxAttempts = 4
+	// maxBodyBytes is the configured limit on the bodies of callers.
+	maxBodyBytes = 1 << 20
 )
 
 // operator changes the configuration, evacuates a failure domain, and checks which configuration each entry has in
@@ -63,7 +65,7 @@
 	defer o.mu.Unlock()
 	o.version++
 	plan := descriptor.Plan{
-		Version: o.version, MaxBody: 1 << 20, Services: map[descriptor.ServiceID]descriptor.Pool{service: {Guarded: true}},
+		Version: o.version, MaxBody: maxBodyBytes, Services: map[descriptor.ServiceID]descriptor.Pool{service: {Guarded: true}},
 		Accounts: []descriptor.Account{{Workspace: "atelier", Keys: []string{callerKey}, Guaranteed: 8}},
 	}
 	for i := range 2 {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -142,6 +142,16 @@
 	return p.startCount
 }
 
+// pid returns the id of the current process, or 0 before the first start.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // close kills the process, prevents a restart and waits until run has returned.
 func (p *process) close() {
 	p.mu.Lock()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -44,6 +44,8 @@
 	Load time.Duration
 	// OrdersInHeartbeats makes the workers take their orders from the answers to their heartbeats.
 	OrdersInHeartbeats bool
+	// HardLoad adds the faults and traits of hardLoad. Without it, a seed plays as it did before they existed.
+	HardLoad bool
 }
 
 // Result is the outcome of a soak run.
@@ -60,6 +62,13 @@
 	Done     int
 	// Attempts counts the attempts that workers started, including those of jobs with an unknown outcome.
 	Attempts int
+	// PeakMemory is the largest memory of an entry, in bytes, and PeakDescriptors the largest number of its descriptors.
+	PeakMemory      int64
+	PeakDescriptors int
+	// SetAside counts the reports that leaders set aside, and DiscardedWork the core-seconds of work lost, by cause. They
+	// miss up to metricsInterval of a process that was killed.
+	SetAside      float64
+	DiscardedWork map[string]float64
 }
 
 // Ports of the processes. Each process has its own address in the loopback range.
@@ -127,7 +136,10 @@
 	storeFaultHistory faultHistory
 	operator          *operator
 	checker           *checker
-	closers           []func()
+	// hardLoad is nil unless Options.HardLoad is set.
+	hardLoad *hardLoad
+	monitor  monitor
+	closers  []func()
 }
 
 // Run starts the processes, runs the load with faults, stops the processes and returns the result. Broken promises are
@@ -136,6 +148,9 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	dp := &deployment{Options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: &emulator.Store{}, fleet: &emulator.Fleet{Bounds: platformBounds}}
 	defer dp.close()
+	if o.HardLoad {
+		dp.hardLoad = newHardLoad(dp)
+	}
 	if err := dp.startAll(ctx); err != nil {
 		return Result{Seed: o.Seed}, err
 	}
@@ -151,6 +166,7 @@
 	for _, a := range dp.agents {
 		background.Go(func() { a.worker.SendHeartbeats(ctx) })
 	}
+	background.Go(func() { dp.monitor.run(ctx, dp) })
 	dp.awaitReady(ctx)
 	operatorCtx, stopOperator := context.WithCancel(ctx)
 	background.Go(func() { dp.operator.run(operatorCtx, dp) })
@@ -161,13 +177,25 @@
 		callers.Go(func() { c.run(loadCtx, ctx) })
 	}
 	background.Go(func() { dp.injectSilences(loadCtx, rand.New(rand.NewPCG(dp.Seed, 2))) })
+	if dp.hardLoad != nil {
+		callers.Go(func() { dp.hardLoad.run(loadCtx, ctx) })
+	}
 	injected := dp.injectFaults(loadCtx)
 	dp.endFaults()
 	callers.Wait()
+	if dp.hardLoad != nil {
+		for _, e := range dp.entries {
+			dp.hardLoad.checkServed(ctx, e)
+		}
+	}
+	dp.monitor.readMetrics(ctx, dp)
 	stopLoad()
 	stopOperator()
 	cancel()
 	background.Wait()
+	if dp.hardLoad != nil {
+		injected = append(injected, dp.hardLoad.injected...)
+	}
 	return dp.checker.result(dp, injected)
 }
 
@@ -227,7 +255,7 @@
 	return fmt.Sprintf("%s:%d", dp.hostIP(kind, n), port)
 }
 
-// hostIP returns the IP address of the n-th host of a kind: 0 for the store, 1 for entries, 2 for agents.
+// hostIP returns the IP address of the n-th host of a kind: 0 for the store, 1 for entries, 2 for agents, 4 for crowds.
 func (dp *deployment) hostIP(kind, n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", dp.network, kind*2+n/200, n%200+1)
 }
@@ -269,6 +297,7 @@
 	e.process, err = dp.launch(name, "entry", e.peerRelay.address(), emulator.Settings{
 		Node: name, FailureDomain: failureDomain, Region: "region", IP: e.ip, CallerPort: callerPort, ReadyPort: readyPort, FirstPort: peerPort,
 		StoreAddress: e.storeRelay.address(), OrdersInHeartbeats: dp.OrdersInHeartbeats, Bounds: platformBounds,
+		MemoryMB: entryMemoryMB, MaxDescriptors: entryDescriptors,
 	})
 	dp.entries = append(dp.entries, e)
 	return err
@@ -290,6 +319,7 @@
 		VM: name, Service: service, FailureDomain: a.failureDomain, Rack: descriptor.RackID(fmt.Sprintf("r1-%d", index/rackSize)),
 		Capacity:         descriptor.Capacity{Cores: 64000, Memory: 131072, Accelerators: 8},
 		HeartbeatAddress: a.heartbeatRelay.address(), OrdersInHeartbeats: dp.OrdersInHeartbeats, ClockRate: 1 - 0.02*dp.random.Float64(),
+		Speed: dp.hardLoad.workerSpeed(),
 	}
 	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", a.ip, workerPort))
 	if err != nil {
