--- a/internal/soaker/crowd.go
+++ b/internal/soaker/crowd.go
@@ -66,17 +66,23 @@
 	return t.head(t.method) + fmt.Sprintf("Content-Length: %d\r\n\r\n", n)
 }
 
+// Contents that all members of a crowd share.
+var (
+	shortBody   = make([]byte, maxBodyBytes-1)
+	shortFields = bytes.Repeat([]byte("a: b\r\n"), fieldHeaderBytes/6)
+)
+
 // crowdShapes are chosen with equal probability. The bodies that are complete are no valid jobs. Errors of connections are
 // ignored: the entry may close them at any time.
 var crowdShapes = []crowdShape{
 	{"bodies that stop short", 300, func(c net.Conn, t crowdTarget) {
 		io.WriteString(c, t.headWithBody(maxBodyBytes))
-		c.Write(make([]byte, maxBodyBytes-1))
+		c.Write(shortBody)
 		io.Copy(io.Discard, c)
 	}},
 	{"chunked bodies that stop short", 300, func(c net.Conn, t crowdTarget) {
 		io.WriteString(c, t.head(t.method)+fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", maxBodyBytes))
-		c.Write(make([]byte, maxBodyBytes-1))
+		c.Write(shortBody)
 		io.Copy(io.Discard, c)
 	}},
 	{"slow senders", 300, func(c net.Conn, t crowdTarget) {
@@ -115,7 +121,7 @@
 	}},
 	{"short header fields", 100, func(c net.Conn, t crowdTarget) {
 		io.WriteString(c, t.head("GET"))
-		c.Write(bytes.Repeat([]byte("a: b\r\n"), fieldHeaderBytes/6))
+		c.Write(shortFields)
 		io.WriteString(c, "\r\n")
 		io.Copy(io.Discard, c)
 	}},
