--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -58,7 +58,7 @@
 	flags.IntVar(&c.options.Callers, "callers", 4, "number of callers of a run")
 	flags.DurationVar(&c.options.Load, "load", 12*time.Second, "how long callers submit jobs and faults are injected")
 	flags.BoolVar(&c.options.OrdersInHeartbeats, "heartbeat-orders", false, "workers take their orders from the answers to their heartbeats")
-	flags.BoolVar(&c.options.HardLoad, "hard-load", true, "uneven workers, long tasks, rushes, grey and flapping workers, and hostile crowds; without it, a seed plays as before 2026-12-07")
+	flags.BoolVar(&c.options.HardLoad, "hard-load", true, "uneven workers, long tasks, rushes, grey and flapping workers, and hostile crowds; without it, a seed plays the other faults alone")
 	flags.StringVar(&c.options.Program, "program", "", "path of the node program; built when empty")
 	flags.StringVar(&c.logDir, "keep", "soak-logs", "directory for the logs of runs that broke a promise")
 	return &ffcli.Command{
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,7 +132,7 @@
 	for _, a := range dp.agents {
 		ck.violations = append(ck.violations, a.listUnexpectedExits()...)
 	}
-	summary.Violations = append(ck.violations, dp.fleet.Violations()...)
+	summary.Violations = slices.Concat(summary.Violations, ck.violations, dp.fleet.Violations())
 	return summary
 }
 
--- a/internal/soaker/crowd_test.go
+++ b/internal/soaker/crowd_test.go
@@ -63,12 +63,14 @@
 func TestMonitorReportsMemory(t *testing.T) {
 	self, err := os.FindProcess(os.Getpid())
 	assert.NilError(t, err)
-	dp := &deployment{checker: &checker{}}
+	var m monitor
+	var r Result
 	e := &entry{process: &process{name: "entry-0", cmd: &exec.Cmd{Process: self}}}
 	assert.Assert(t, bytes.Count(bytes.Repeat([]byte{1}, entryMemoryMB<<20), []byte{1}) > 0)
 	for range 2 {
-		dp.monitor.checkLimits(dp, e)
+		m.readPeak(e)
 	}
-	assert.Equal(t, len(dp.checker.violations), 1, "%v", dp.checker.violations)
-	assert.Assert(t, strings.Contains(dp.checker.violations[0], "its limits are 184 MB and 4100"))
+	m.summarize(&r)
+	assert.Equal(t, len(r.Violations), 1, "%v", r.Violations)
+	assert.Assert(t, strings.Contains(r.Violations[0], "its limits are 184 MB and 4100"))
 }
--- a/internal/soaker/monitor.go
+++ b/internal/soaker/monitor.go
@@ -33,18 +33,23 @@
 	discardedMetric = "persimmontrail_discarded_core_seconds_total"
 )
 
-// monitor reads the memory, the descriptors and the metrics of the entries, and checks the first two against their
-// limits.
+// monitor reads the memory, the descriptors and the metrics of the entries. At the end of a run, summarize checks the
+// first two against their limits.
 type monitor struct {
-	mu              sync.Mutex
-	peakMemory      int64
-	peakDescriptors int
-	// exceeded holds the processes that have exceeded a limit, which are reported once.
-	exceeded map[int]bool
+	mu sync.Mutex
+	// peaks holds the largest readings of each process.
+	peaks map[int]peak
 	// metrics holds the newest value of each metric, by process and name with labels.
 	metrics map[int]map[string]float64
 }
 
+// peak is the largest memory of an entry's process, in bytes, and the largest number of its descriptors.
+type peak struct {
+	entry       string
+	memory      int64
+	descriptors int
+}
+
 // run reads until ctx ends.
 func (m *monitor) run(ctx context.Context, dp *deployment) {
 	var loops sync.WaitGroup
@@ -56,15 +61,15 @@
 	})
 	for ctx.Err() == nil {
 		for _, e := range dp.entries {
-			m.checkLimits(dp, e)
+			m.readPeak(e)
 		}
 		pause(ctx, monitorInterval)
 	}
 	loops.Wait()
 }
 
-// checkLimits reads the memory and the descriptors of an entry. A process that has just exited is left out.
-func (m *monitor) checkLimits(dp *deployment, e *entry) {
+// readPeak reads the memory and the descriptors of an entry. A process that has just exited is left out.
+func (m *monitor) readPeak(e *entry) {
 	pid := e.pid()
 	memory := readPeakMemory(pid)
 	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
@@ -73,15 +78,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peakMemory, m.peakDescriptors = max(m.peakMemory, memory), max(m.peakDescriptors, len(descriptors))
-	if (memory > entryMemoryMB<<20 || len(descriptors) > entryDescriptors) && !m.exceeded[pid] {
-		if m.exceeded == nil {
-			m.exceeded = map[int]bool{}
-		}
-		m.exceeded[pid] = true
-		dp.checker.addViolation("%s, process %d, takes %d MB and %d descriptors; its limits are %d MB and %d", e.name, pid, memory>>20,
-			len(descriptors), entryMemoryMB, entryDescriptors)
+	if m.peaks == nil {
+		m.peaks = map[int]peak{}
 	}
+	m.peaks[pid] = peak{e.name, max(m.peaks[pid].memory, memory), max(m.peaks[pid].descriptors, len(descriptors))}
 }
 
 // readPeakMemory returns the largest resident memory of a process so far, in bytes, or 0 if the process has exited.
@@ -145,11 +145,18 @@
 	return values
 }
 
-// summarize adds the readings to the result.
+// summarize adds the readings to the result, and a violation for each process that exceeded a limit.
 func (m *monitor) summarize(r *Result) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r.PeakMemory, r.PeakDescriptors, r.DiscardedWork = m.peakMemory, m.peakDescriptors, map[string]float64{}
+	for pid, p := range m.peaks {
+		r.PeakMemory, r.PeakDescriptors = max(r.PeakMemory, p.memory), max(r.PeakDescriptors, p.descriptors)
+		if p.memory > entryMemoryMB<<20 || p.descriptors > entryDescriptors {
+			r.Violations = append(r.Violations, fmt.Sprintf("%s, process %d, took up to %d MB and %d descriptors; its limits are %d MB and %d",
+				p.entry, pid, p.memory>>20, p.descriptors, entryMemoryMB, entryDescriptors))
+		}
+	}
+	r.DiscardedWork = map[string]float64{}
 	for _, values := range m.metrics {
 		for name, value := range values {
 			if cause, ok := strings.CutPrefix(name, discardedMetric+`{cause="`); ok {
