--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -37,6 +37,15 @@
 	runSeeds(t, []regressionSeed{{100, "fixed"}, {101, "fixed"}}, Options{OrdersInHeartbeats: true})
 }
 
+// TestSoakHardLoad guards against entries that hostile crowds end or fill, and against promises that break under rushes
+// and with uneven, grey and flapping workers.
+func TestSoakHardLoad(t *testing.T) {
+	runSeeds(t, []regressionSeed{
+		{7443, "uneven speeds, crowds of chunked bodies that stop short, of requests sent ahead and of bodies of short fields, a rush"},
+		{7444, "crowds of bodies that stop short on two entries, a rush, grey and flapping workers"},
+	}, Options{HardLoad: true})
+}
+
 // TestSoakBrokenSeeds guards against the return of the faults in regressionSeeds, by the load and faults that once
 // showed them.
 func TestSoakBrokenSeeds(t *testing.T) { runSeeds(t, regressionSeeds, Options{}) }
