--- a/cmd/persimmontrail-node/hostile_test.go
+++ b/cmd/persimmontrail-node/hostile_test.go
@@ -285,7 +285,7 @@
 	n := &node{ip: fmt.Sprintf("127.%d.%d.%d", 200+os.Getpid()%50, os.Getpid()/50%250, 1), role: role, exited: make(chan struct{})}
 	settings, err := emulator.Settings{
 		Node: "n1", FailureDomain: "north", Region: "all", IP: n.ip, CallerPort: 8521, ReadyPort: 8523, HeartbeatPort: 8526, FirstPort: 7700,
-		WorkerAddress: "127.0.0.1:1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), MemoryMB: memoryMB, MaxFDs: maxFDs,
+		WorkerAddress: "127.0.0.1:1", StoreAddress: strings.TrimPrefix(server.URL, "http://"), MemoryMB: memoryMB, MaxDescriptors: maxFDs,
 		Bounds: emulator.Bounds{MaxHold: 5 * time.Second, StopGrace: 200 * time.Millisecond, CheckpointEvery: time.Second},
 	}.JSON()
 	assert.NilError(t, err)
--- a/cmd/persimmontrail-node/main.go
+++ b/cmd/persimmontrail-node/main.go
@@ -78,6 +78,8 @@
 	announcedAddress string
 	// learnRunTimes makes the leader learn the run times of tasks and the speeds of workers.
 	learnRunTimes bool
+	// preferFastWorkers makes the leader place work on workers that were measured to be slow last.
+	preferFastWorkers bool
 	log           *log.Logger
 	metrics       *recorder.Metrics
 	// guard bounds what the clients of all servers take together.
@@ -95,6 +97,7 @@
 	stallTimeout := flags.Duration("stall-timeout", limiter.DefaultStallTimeout, "`time` without progress after which a body or an answer is given up")
 	bodyTimeout := flags.Duration("body-timeout", limiter.DefaultBodyTimeout, "`time` in which a client must send a body")
 	learnRunTimes := flags.Bool("learn-run-times", false, "entries: learn the run times of tasks and the speeds of workers from runs, and plan by them")
+	preferFastWorkers := flags.Bool("prefer-fast-workers", false, "entries: place work last on workers that were measured to be slower than most")
 	return &ffcli.Command{
 		Name: name, ShortUsage: "persimmontrail-node " + name + " [flags]", ShortHelp: help,
 		LongHelp: "Each flag can be set by an environment variable, for instance PERSIMMONTRAIL_ANNOUNCE.",
@@ -119,7 +122,8 @@
 			}
 			debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(limits.VMMemory)))
 			p := &process{
-				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), learnRunTimes: *learnRunTimes, log: logger,
+				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), learnRunTimes: *learnRunTimes,
+				preferFastWorkers: *preferFastWorkers, log: logger,
 				metrics: &recorder.Metrics{}, serverErrors: make(chan error, 8),
 			}
 			p.guard = &limiter.Guard{Limits: limits, Log: logger, Metrics: p.metrics}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -80,6 +80,8 @@
 	// LearnRunTimes makes the planner learn the distributions of run times and the speeds of workers, and keeps them in the
 	// store.
 	LearnRunTimes bool
+	// PreferFastWorkers is PreferFast of the planner.
+	PreferFastWorkers bool
 	// EndedRetention is how long ended workloads stay readable, counted from when the current leader first saw them as
 	// ended.
 	EndedRetention time.Duration
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -89,6 +89,7 @@
 		ld.Metrics.Increment("worker_health_changes_total", "to", change.To.String(), "reason", change.Reason)
 	}
 	t.core.Contended = func(outcome string) { ld.Metrics.Add("room_searches_total", 1, "outcome", outcome) }
+	t.core.PreferFast = ld.PreferFastWorkers
 	t.learnRunTimes()
 	t.core.LogEvent = func(message string, job descriptor.JobID, details ...any) {
 		ld.Log.Info(message, append([]any{"job", job, "fence", fence}, details...)...)
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -68,9 +68,8 @@
 	return math.Exp(s.sum / (s.weight + speedPrior))
 }
 
-// slownessOf returns a number that is larger the slower a worker is. It is 0 for all workers that are not slower than most,
-// since the fit goes before a small gain, and
-// without PreferFast.
+// slownessOf returns a number that is larger the slower a worker is. It is 0 without PreferFast and for all workers that
+// are not slower than most, since the fit goes before a small gain.
 func (c *Core) slownessOf(w *worker) int {
 	if !c.PreferFast || w.speed.weight == 0 {
 		return 0
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +100,7 @@
 // the callers, the operator and the faults have ended.
 func (ck *checker) result(dp *deployment, injected []string) Result {
 	summary := Result{Seed: dp.Seed, Faults: injected}
+	dp.monitor.summarize(&summary)
 	starts := dp.fleet.Starts()
 	summary.Attempts = len(starts)
 	lastStarts := map[descriptor.JobID]time.Time{}
@@ -130,7 +132,7 @@
 	for _, a := range dp.agents {
 		ck.violations = append(ck.violations, a.listUnexpectedExits()...)
 	}
-	summary.Violations = append(ck.violations, dp.fleet.Violations()...)
+	summary.Violations = slices.Concat(summary.Violations, ck.violations, dp.fleet.Violations())
 	return summary
 }
 
