--- a/cmd/persimmontrail-node/main.go
+++ b/cmd/persimmontrail-node/main.go
@@ -80,8 +80,8 @@
 	learnRunTimes bool
 	// preferFastWorkers makes the leader place work on workers that were measured to be slow last.
 	preferFastWorkers bool
-	log           *log.Logger
-	metrics       *recorder.Metrics
+	log               *log.Logger
+	metrics           *recorder.Metrics
 	// guard bounds what the clients of all servers take together.
 	guard        *limiter.Guard
 	servers      sync.WaitGroup
