--- a/internal/soaker/crowd_test.go
+++ b/internal/soaker/crowd_test.go
@@ -32,11 +32,12 @@
 					complete.Add(1)
 				}
 			}))
-			defer server.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			runMember(ctx, "127.0.0.1", crowdTarget{address: server.Listener.Addr().String(), method: "POST", path: "/"}, shape)
 			server.CloseClientConnections()
+			// Close waits for the handlers.
+			server.Close()
 			wantBytes, wantRequests := int64(0), int64(1)
 			switch {
 			case strings.HasSuffix(shape.name, "stop short"):
