--- a/cmd/persimmontrail-node/main.go
+++ b/cmd/persimmontrail-node/main.go
@@ -43,6 +43,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// Until this call a SIGHUP ends the process, so it comes first.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	out := recorder.NewWriter(os.Stdout)
 	defer out.Close()
 	root := &ffcli.Command{
@@ -50,8 +53,8 @@
 		ShortUsage: "persimmontrail-node entry|agent",
 		FlagSet:    flag.NewFlagSet("persimmontrail-node", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
-			command("entry", "serve callers and take part in the leader election", out, runEntry),
-			command("agent", "run beside the worker on the same VM", out, runAgent),
+			command("entry", "serve callers and take part in the leader election", out, hangups, runEntry),
+			command("agent", "run beside the worker on the same VM", out, hangups, runAgent),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -80,8 +83,10 @@
 	learnRunTimes bool
 	// preferFastWorkers makes the leader place work on workers that were measured to be slow last.
 	preferFastWorkers bool
-	log               *log.Logger
-	metrics           *recorder.Metrics
+	// hangups receives a value after a SIGHUP.
+	hangups <-chan os.Signal
+	log     *log.Logger
+	metrics *recorder.Metrics
 	// guard bounds what the clients of all servers take together.
 	guard        *limiter.Guard
 	servers      sync.WaitGroup
@@ -90,7 +95,7 @@
 
 // command returns the subcommand for a role. It loads the settings, logs to out and calls runRole with a context that
 // ends on SIGTERM or SIGINT.
-func command(name, help string, out *recorder.Writer, runRole func(ctx context.Context, p *process) error) *ffcli.Command {
+func command(name, help string, out *recorder.Writer, hangups <-chan os.Signal, runRole func(ctx context.Context, p *process) error) *ffcli.Command {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	announcedAddress := flags.String("announce", "", "`address` that other processes use to reach this one; empty means the address that it listens on")
 	clientMemory := flags.Int64("client-memory", 0, "`MiB` of memory that all clients together can take; 0 means a quarter of the VM's memory")
@@ -123,7 +128,7 @@
 			debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(limits.VMMemory)))
 			p := &process{
 				settings: nodeSettings, announcedAddress: cmp.Or(*announcedAddress, nodeSettings.PeerAddress), learnRunTimes: *learnRunTimes,
-				preferFastWorkers: *preferFastWorkers, log: logger,
+				preferFastWorkers: *preferFastWorkers, hangups: hangups, log: logger,
 				metrics: &recorder.Metrics{}, serverErrors: make(chan error, 8),
 			}
 			p.guard = &limiter.Guard{Limits: limits, Log: logger, Metrics: p.metrics}
@@ -142,13 +147,11 @@
 // checkSettingsOnHangup reads the settings again on each SIGHUP until ctx ends, checks them and logs the result. The
 // settings in use do not change while a process runs.
 func (p *process) checkSettingsOnHangup(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-p.hangups:
 			s, err := platform.LoadSettings()
 			p.log.Info("settings checked on SIGHUP", "changed", err == nil && s != p.settings, "err", err)
 		}
