--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -307,9 +307,6 @@
 	a.update(id, w, now, reasonRestarts)
 }
 
-// Forget drops a workload that has ended.
-func (a *Assessor) Forget(j JobID) { delete(a.jobs, j) }
-
 // knownJob returns the record of a workload, in the place of the one that was used longest ago if there are maxJobs.
 func (a *Assessor) knownJob(id JobID, now time.Time) *job {
 	r := a.jobs[id]
--- a/internal/planner/contention.go
+++ b/internal/planner/contention.go
@@ -7,8 +7,12 @@
 	"persimmontrail/internal/preempter"
 )
 
-// maxContenders is the number of gangs that are solved together at most.
-const maxContenders = 8
+const (
+	// maxContenders is the number of gangs that are solved together at most.
+	maxContenders = 8
+	// maxContests is the number of times in one plan that gangs beyond a guarantee are solved.
+	maxContests = 8
+)
 
 // contender is an urgent gang that finds no room, for which others may be preempted.
 type contender struct {
@@ -27,8 +31,15 @@
 	if p.now.Before(c.group.job.preemptAfter) || !p.mayPreempt(c.group) {
 		return p.withoutPreemption(c)
 	}
+	if c.group.level > levelGuaranteed && p.contests >= maxContests {
+		// Those that were denied in this plan leave the next one to the others.
+		p.core.planBy(p.now.Add(preemptRetryInterval))
+		p.noteVainSearch(c.group, c.demand)
+		return p.afterContest(c)
+	}
 	p.contenders = append(p.contenders, c)
-	if len(p.contenders) >= maxContenders {
+	// Guaranteed gangs must not find their workers taken by the groups after them.
+	if c.group.level == levelGuaranteed || len(p.contenders) >= maxContenders {
 		return p.resolve()
 	}
 	return nil
@@ -49,6 +60,7 @@
 	if len(contenders) == 0 {
 		return nil
 	}
+	p.contests++
 	contests := make([]contest, len(contenders))
 	for i, c := range contenders {
 		contests[i] = contest{c.group, len(c.group.indexes), c.pools}
@@ -99,6 +111,11 @@
 	}
 	p.core.planBy(c.group.job.preemptAfter)
 	p.noteVainSearch(c.group, c.demand)
+	return p.afterContest(c)
+}
+
+// afterContest spreads a gang for which nobody is stopped, if that was not tried before.
+func (p *pass) afterContest(c contender) []Order {
 	if c.spread {
 		return nil
 	}
@@ -188,12 +205,14 @@
 		if step.Gang && step.DataRack != "" && pool[0].status.Rack != step.DataRack {
 			converted.CostFactor = p.core.Limits.DistanceFactor
 		}
-		for _, w := range pool {
+		for _, w := range p.withoutTrials(c.group, pool) {
 			i := p.fleetIndex[w]
 			inPool[i] = true
 			converted.Workers = append(converted.Workers, i)
 		}
-		d.Pools = append(d.Pools, converted)
+		if len(converted.Workers) > 0 {
+			d.Pools = append(d.Pools, converted)
+		}
 	}
 	return d
 }
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -28,6 +28,7 @@
 		remaining time.Duration
 	}
 	var endings []ending
+	pool = p.withoutTrials(g, pool)
 	for _, w := range pool {
 		free[w] = p.room[w].Plus(p.releasing[w])
 		for _, r := range w.attempts {
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -70,8 +70,8 @@
 	j.failedOn[key] = append(j.failedOn[key], w)
 }
 
-// assessHealth sets the health of a usable worker for the pass. A worker on probation has no room while one of its
-// attempts is younger than provingTime.
+// assessHealth sets the health of a usable worker for the pass. A worker on probation is on trial while one of its attempts
+// is younger than provingTime.
 func (p *pass) assessHealth(w *worker) {
 	c := p.core
 	id := w.healthID()
@@ -82,22 +82,46 @@
 		c.planBy(w.quarantinedUntil)
 	case assessor.Probation:
 		for _, r := range w.attempts {
-			if !r.stopping && (!r.confirmed || p.now.Sub(r.started) < provingTime) {
-				p.room[w] = descriptor.Capacity{}
-				c.planBy(p.now.Add(provingTime))
-				return
+			switch {
+			case r.stopping:
+			case !r.confirmed:
+				p.onTrial[w] = true
+			case p.now.Sub(r.started) < provingTime:
+				p.onTrial[w] = true
+				c.planBy(r.started.Add(provingTime))
 			}
 		}
 	}
 }
 
+// mayCrowdTrials reports whether a group may use the whole room of workers on probation: after suspectWait, guaranteed work
+// and tasks that last, since they must begin soon, and all work while most of the service is free.
+func (p *pass) mayCrowdTrials(g group) bool {
+	if p.now.Sub(g.job.waitingSince) <= suspectWait {
+		return false
+	}
+	return g.level == levelGuaranteed || g.job.step(g.step).Service || !p.serviceBusy(g.job.record.Workload.Service)
+}
+
 // trialRoom returns the part of a worker's room that a task of size need may use. On a worker on probation, that is the
-// room for one task.
-func (p *pass) trialRoom(w *worker, room, need descriptor.Capacity) descriptor.Capacity {
-	if p.health[w] == assessor.Probation && room.Fits(need) {
-		return need
+// room for one task, and none while the worker is on trial.
+func (p *pass) trialRoom(g group, w *worker, room, need descriptor.Capacity) descriptor.Capacity {
+	if p.health[w] != assessor.Probation || p.mayCrowdTrials(g) {
+		return room
+	}
+	if p.onTrial[w] || !room.Fits(need) {
+		return descriptor.Capacity{}
+	}
+	return need
+}
+
+// withoutTrials returns the workers of a pool whose room counts as a whole when room is searched for.
+func (p *pass) withoutTrials(g group, pool []*worker) []*worker {
+	onProbation := func(w *worker) bool { return p.health[w] == assessor.Probation }
+	if !slices.ContainsFunc(pool, onProbation) || p.mayCrowdTrials(g) {
+		return pool
 	}
-	return room
+	return slices.DeleteFunc(slices.Clone(pool), onProbation)
 }
 
 // worstHealth returns the worst health of the workers of a placement.
@@ -144,7 +168,23 @@
 		p.core.planBy(g.job.waitingSince.Add(suspectWait))
 		return false
 	}
-	return step.Service || !p.serviceBusy(g.job.record.Workload.Service) || p.tasksWhenEmpty(others, step.Need(), step) < n
+	return step.Service || !p.serviceBusy(g.job.record.Workload.Service) || p.tasksBesideServices(others, step) < n
+}
+
+// tasksBesideServices returns the number of tasks of a step that fit into a pool when nothing but tasks that last runs
+// there.
+func (p *pass) tasksBesideServices(pool []*worker, step *descriptor.Step) int {
+	sum := 0
+	for _, w := range pool {
+		free := w.status.Capacity
+		for _, r := range w.attempts {
+			if r.job != nil && r.job.step(r.id.Task.Step).Service {
+				free = free.Minus(r.need)
+			}
+		}
+		sum += free.CountFitting(step.Need(), perWorkerLimit(step))
+	}
+	return sum
 }
 
 // failedWorkers returns the workers on which a task has failed.
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -34,6 +34,10 @@
 	fleet []*worker
 	// health holds the health of each worker of the fleet.
 	health map[*worker]assessor.State
+	// onTrial is the set of workers on probation with an attempt that has not worked for provingTime.
+	onTrial map[*worker]bool
+	// contests counts the searches for victims for gangs.
+	contests int
 	// busyServices caches serviceBusy.
 	busyServices map[descriptor.ServiceID]bool
 	// withinGuarantee is the set of workloads inside their workspace's guarantee.
@@ -63,7 +67,7 @@
 // newPass returns a pass over the workers that are usable now.
 func (c *Core) newPass(now time.Time) *pass {
 	p := &pass{core: c, now: now, room: map[*worker]descriptor.Capacity{}, releasing: map[*worker]descriptor.Capacity{}}
-	p.health, p.busyServices = map[*worker]assessor.State{}, map[descriptor.ServiceID]bool{}
+	p.health, p.onTrial, p.busyServices = map[*worker]assessor.State{}, map[*worker]bool{}, map[descriptor.ServiceID]bool{}
 	c.plannedAt = now
 	attempts := 0
 	for _, w := range c.sortedWorkers() {
@@ -190,7 +194,7 @@
 	var best *worker
 	var bestLeft float64
 	for _, w := range pool {
-		if p.startsPaused(w) || !p.room[w].Fits(need) || p.atTaskLimit(g, step, w) {
+		if p.startsPaused(w) || !p.trialRoom(g, w, p.room[w], need).Fits(need) || p.atTaskLimit(g, step, w) {
 			continue
 		}
 		left := freeFractionSum(p.room[w].Minus(need), w.status.Capacity)
@@ -415,9 +419,9 @@
 func (p *pass) fill(g group, step *descriptor.Step, pool []*worker, need descriptor.Capacity, n int, countReleasing bool) placement {
 	room := func(w *worker) descriptor.Capacity {
 		if countReleasing {
-			return p.trialRoom(w, p.room[w].Plus(p.releasing[w]), need)
+			return p.trialRoom(g, w, p.room[w].Plus(p.releasing[w]), need)
 		}
-		return p.trialRoom(w, p.room[w], need)
+		return p.trialRoom(g, w, p.room[w], need)
 	}
 	if !countReleasing && slices.ContainsFunc(pool, p.startsPaused) {
 		pool = slices.DeleteFunc(slices.Clone(pool), p.startsPaused)
@@ -513,7 +517,8 @@
 		r.startDeadline = noStartDeadline
 		p.room[w] = p.room[w].Minus(r.need)
 		if p.health[w] == assessor.Probation {
-			p.room[w] = descriptor.Capacity{}
+			p.onTrial[w] = true
+			c.planBy(p.now.Add(provingTime))
 		}
 		if counts := p.stepCounts[w]; counts != nil {
 			counts[jobStep{j.id(), g.occurrence, g.step}]++
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -502,9 +502,6 @@
 		j.progress.State = state
 		c.dirty[j.id()] = true
 	}
-	if state.Final() {
-		c.health.Forget(assessor.JobID(j.id()))
-	}
 }
 
 // criticalPath returns the largest sum of expected run times over a chain of dependent steps.
--- a/internal/preempter/preempter.go
+++ b/internal/preempter/preempter.go
@@ -245,6 +245,8 @@
 	ownKey map[int]uint64
 	// wide holds the units that span workers and of which a member is in the pool, the cheapest first.
 	wide []int
+	// rest holds the units beyond maxOwnUnits of a worker, which only solveCheapestFirst stops.
+	rest []int
 }
 
 // solution is a set of units to stop for one demand, with its cost.
@@ -325,6 +327,7 @@
 		scene: s.scene, demand: d, units: s.units, workers: pool, free: slices.Clone(s.free),
 		own: make(map[int][]int, len(pool)), ownKey: make(map[int]uint64, len(pool)),
 	}
+	s.scene.work += len(s.free) / 8
 	for _, w := range pool {
 		for x, i := range s.scene.unitsOn[w] {
 			u := &s.units[i]
@@ -336,6 +339,8 @@
 			case x < maxOwnUnits:
 				p.own[w] = append(p.own[w], i)
 				p.ownKey[w] |= 1 << x
+			default:
+				p.rest = append(p.rest, i)
 			}
 		}
 	}
--- a/internal/preempter/search.go
+++ b/internal/preempter/search.go
@@ -1,15 +1,20 @@
 package preempter
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
 	"persimmontrail/pkg/descriptor"
 )
 
+// maxTriedWide is the number of units that span workers from which not all sets of them can be tried.
+const maxTriedWide = 16
+
 // solve returns the cheapest set of units found that makes room for the demand on the pool.
 func solve(p *problem) (solution, bool) {
+	if len(p.workers) == 0 {
+		return solution{}, false
+	}
 	if p.demand.Count*len(p.workers) > maxSteps {
 		return solveCheapestFirst(p)
 	}
@@ -37,7 +42,7 @@
 	if !found {
 		return solution{}, false
 	}
-	if 1<<len(p.wide) <= limit {
+	if len(p.wide) < maxTriedWide && 1<<len(p.wide) <= limit {
 		for set := 1; set < 1<<len(p.wide); set++ {
 			try(p.wideSubset(set))
 		}
@@ -254,28 +259,31 @@
 // solveCheapestFirst takes units, the cheapest first over the whole pool, until the demand fits, and then drops those
 // that are not needed, the most expensive first.
 func solveCheapestFirst(p *problem) (solution, bool) {
-	free := slices.Clone(p.free)
-	p.scene.work += len(p.workers)
-	fits := func() bool {
-		sum := 0
-		for _, w := range p.workers {
-			sum += free[w].CountFitting(p.demand.Need, p.limit())
-		}
-		return sum >= p.demand.Count
+	free := make(map[int]descriptor.Capacity, len(p.workers))
+	fitting := 0
+	for _, w := range p.workers {
+		free[w] = p.free[w]
+		fitting += free[w].CountFitting(p.demand.Need, p.limit())
 	}
+	fits := func() bool { return fitting >= p.demand.Count }
 	add := func(u, sign int) {
 		for _, m := range p.units[u].Members {
-			free[m.Worker] = free[m.Worker].Plus(m.Need.Multiply(sign))
+			before, inPool := free[m.Worker]
+			if !inPool {
+				continue
+			}
+			after := before.Plus(m.Need.Multiply(sign))
+			free[m.Worker] = after
+			fitting += after.CountFitting(p.demand.Need, p.limit()) - before.CountFitting(p.demand.Need, p.limit())
 		}
 	}
-	var candidates []int
+	candidates := slices.Clone(p.rest)
 	for _, own := range p.own {
 		candidates = append(candidates, own...)
 	}
 	candidates = append(candidates, p.wide...)
-	slices.SortFunc(candidates, func(a, b int) int {
-		return cmp.Or(cmp.Compare(p.units[a].Cost, p.units[b].Cost), cmp.Compare(a, b))
-	})
+	slices.SortFunc(candidates, p.scene.byCost)
+	p.scene.work += len(p.workers) + len(candidates)
 	var s solution
 	for _, u := range candidates {
 		if fits() {
