--- a/internal/estimator/distribution.go
+++ b/internal/estimator/distribution.go
@@ -24,12 +24,20 @@
 // leastChance is the chance of a longer run below which the distribution says nothing about the rest of a run.
 const leastChance = 1e-4
 
+// longest bounds all results, so that sums of them do not overflow.
+const longest = 365 * 24 * time.Hour
+
+// durationOf returns a number of nanoseconds as a duration from 0 to longest.
+func durationOf(nanoseconds float64) time.Duration {
+	return time.Duration(min(max(nanoseconds, 0), float64(longest)))
+}
+
 // Mean returns the expected run time.
 func (d Distribution) Mean() time.Duration {
 	if d.estimate == nil {
 		return 0
 	}
-	return time.Duration(d.scale * d.mean)
+	return durationOf(d.scale * d.mean)
 }
 
 // Quantile returns the time within which a run ends with chance p.
@@ -37,7 +45,7 @@
 	if d.estimate == nil {
 		return 0
 	}
-	return time.Duration(d.scale * d.curve.quantile(p))
+	return durationOf(d.scale * d.curve.quantile(p))
 }
 
 // Remaining returns the time within which a run that has gone on for elapsed ends with chance p.
@@ -62,7 +70,7 @@
 	if chance < leastChance {
 		return elapsed / 2
 	}
-	return max(0, time.Duration(d.scale*mean)-elapsed)
+	return max(0, durationOf(d.scale*mean)-elapsed)
 }
 
 // ChanceWithin returns the chance that a run that has gone on for elapsed ends within limit.
@@ -74,5 +82,5 @@
 	if 1-ended < leastChance {
 		return min(1, float64(limit)/max(float64(elapsed), 1))
 	}
-	return (d.curve.below(float64(elapsed+limit)/d.scale) - ended) / (1 - ended)
+	return (d.curve.below((float64(elapsed)+float64(limit))/d.scale) - ended) / (1 - ended)
 }
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -143,6 +143,8 @@
 	// updatedAt is the time of the newest sample; order numbers the updates of all groups.
 	updatedAt time.Time
 	order     uint64
+	// hasRunning is true if the group is in Estimator.runningIn.
+	hasRunning bool
 	// estimates caches the results of Estimator.estimateOf for version.
 	estimates [len(exponents)]*estimate
 	version   uint64
@@ -175,7 +177,11 @@
 	q.total += float64(s.weight())
 	for l := range levelCount {
 		g := e.groupFor(keyOf(l, s.Class))
-		g.decay(&s, q.total)
+		if l > levelQueue {
+			g.decay(&s, q.total)
+		} else {
+			g.decay(&s, g.queueTotal)
+		}
 		for i := range exponents {
 			h := &g.histograms[i]
 			if s.Censored {
@@ -194,6 +200,7 @@
 		return
 	}
 	for _, g := range e.runningIn {
+		g.hasRunning = false
 		for i := range exponents {
 			g.histograms[i].running = counts{}
 		}
@@ -212,7 +219,10 @@
 			for i := range exponents {
 				g.histograms[i].running[s.bucket(i)] += s.weight()
 			}
-			e.runningIn = append(e.runningIn, g)
+			if !g.hasRunning {
+				g.hasRunning = true
+				e.runningIn = append(e.runningIn, g)
+			}
 		}
 	}
 	e.version++
@@ -254,9 +264,10 @@
 	}
 }
 
-// decay lets the former samples of a group count less before a new one is added. queueTotal is the total of the queue.
+// decay lets the former samples of a group count less before a new one is added. queueTotal is the total of the queue for a
+// group within one queue.
 func (g *group) decay(s *Sample, queueTotal float64) {
-	halfLives := float64(s.weight())/halfLifeSamples + (queueTotal-g.queueTotal)/halfLifeQueueSamples
+	halfLives := float64(s.weight())/halfLifeSamples + max(0, queueTotal-g.queueTotal)/halfLifeQueueSamples
 	g.queueTotal = queueTotal
 	if !g.updatedAt.IsZero() {
 		halfLives += max(0, float64(s.At.Sub(g.updatedAt))/float64(halfLifeTime))
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -256,3 +256,24 @@
 		assert.Assert(t, chance >= 0 && chance <= 1)
 	})
 }
+
+// TestQueuesOfDifferentRates names a load of two queues, one of which has thousands of runs for each of the other. The
+// weights of the group of all runs grew without bound.
+func TestQueuesOfDifferentRates(t *testing.T) {
+	var e Estimator
+	now := time.Unix(1e9, 0)
+	add := func(queue descriptor.QueueID, n int) {
+		for range n {
+			now = now.Add(time.Millisecond)
+			e.Add(Sample{Class: Class{Queue: queue}, Declared: time.Second, Elapsed: 2 * time.Second, At: now})
+		}
+	}
+	for range 3 {
+		add("busy", 20_000)
+		add("rare", 1)
+	}
+	unknown := e.Estimate(Class{Queue: "new"}, time.Second).Mean()
+	assert.Assert(t, unknown > time.Second && unknown < 4*time.Second, "%v", unknown)
+	var restored Estimator
+	assert.NilError(t, restored.Restore(e.Snapshot(now), now))
+}
--- a/internal/estimator/snapshot.go
+++ b/internal/estimator/snapshot.go
@@ -94,7 +94,7 @@
 		g := e.groups[k]
 		stored := GroupSnapshot{
 			Level: uint8(k.Level), Queue: k.Queue, Workspace: k.Workspace, Shape: k.Shape,
-			Scores: g.scores[:], Scored: g.scored, UpdatedAt: g.updatedAt,
+			Scores: slices.Clone(g.scores[:]), Scored: g.scored, UpdatedAt: g.updatedAt,
 		}
 		freshness := float32(g.freshness(k.Level, e.groups[keyOf(levelQueue, k.Class)]))
 		for i := range g.histograms {
@@ -160,6 +160,8 @@
 	if err := restoreHistogram(&restored.workers.ratios, &s.Ratios); err != nil {
 		return fmt.Errorf("%w: ratios: %w", ErrSnapshot, err)
 	}
+	// Versions must not repeat, since results are cached by them.
+	restored.version += e.version + 1
 	*e = restored
 	return nil
 }
--- a/internal/limiter/body.go
+++ b/internal/limiter/body.go
@@ -231,6 +231,13 @@
 	return err
 }
 
+// decodeAlone runs decode while no other message is decoded.
+func (g *Guard) decodeAlone(decode func() (Bytes, error)) (Bytes, error) {
+	g.decoding.Lock()
+	defer g.decoding.Unlock()
+	return decode()
+}
+
 // Decode runs decode, which decodes the body of r and returns the size of the result. The result is charged to the
 // request. Only one message is decoded at a time. The errors are that of decode and ErrNoRoom.
 func Decode(w http.ResponseWriter, r *http.Request, decode func() (Bytes, error)) error {
@@ -239,10 +246,7 @@
 		_, err := decode()
 		return err
 	}
-	decoding := &b.connection.port.guard.decoding
-	decoding.Lock()
-	size, err := decode()
-	decoding.Unlock()
+	size, err := b.connection.port.guard.decodeAlone(decode)
 	if err != nil {
 		return err
 	}
--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -102,20 +102,26 @@
 
 // grow adds n bytes to the draw, or returns ErrNoRoom.
 func (d *draw) grow(n Bytes) error {
+	_, err := d.reserve(n)
+	return err
+}
+
+// reserve is grow, but also returns the name of the account that has no room, "" if it is the budget itself.
+func (d *draw) reserve(n Bytes) (full string, err error) {
 	b := d.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !d.evicted {
-		name, full := b.fullAccount(d, n)
-		if !full {
+		name, isFull := b.fullAccount(d, n)
+		if !isFull {
 			b.add(d, n)
-			return nil
+			return "", nil
 		}
 		if !b.evictOldest(name, time.Now()) {
-			break
+			return name, ErrNoRoom
 		}
 	}
-	return ErrNoRoom
+	return "", ErrNoRoom
 }
 
 // shrink takes n bytes off the draw.
--- a/internal/limiter/connection.go
+++ b/internal/limiter/connection.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -37,15 +38,23 @@
 		address = host
 	}
 	c := &connection{Conn: inner, port: p, address: address}
-	c.draw.open(&p.guard.budget, []account{{p.account, p.share}, {p.account + " address " + address, p.maxAddress}})
-	for c.draw.grow(connectionCost) != nil {
-		if !p.connections.closeOldest(time.Now()) {
+	ofAddress := p.account + " address " + address
+	c.accounts = []account{{p.account, p.share}, {ofAddress, p.maxAddress}}
+	// Connections alone take half of each share, so that there is room for requests.
+	c.draw.open(&p.guard.budget, append(slices.Clone(c.accounts),
+		account{p.account + " connections", p.share / 2}, account{ofAddress + " connections", p.maxAddress / 2}))
+	for {
+		full, err := c.draw.reserve(connectionCost)
+		if err == nil {
+			break
+		}
+		if !p.connections.closeOldest(full, time.Now()) {
 			p.limited("memory for connections", address)
 			return nil
 		}
 	}
 	for !p.connections.add(c) {
-		if !p.connections.closeOldest(time.Now()) {
+		if !p.connections.closeOldest("", time.Now()) {
 			c.draw.close()
 			p.limited("connections", address)
 			return nil
@@ -104,9 +113,9 @@
 	}
 }
 
-// closeOldest closes the connection without progress for longest, except those that wait for an answer. It reports
-// whether there was one without progress for evictionAge.
-func (l *connectionList) closeOldest(now time.Time) bool {
+// closeOldest closes the connection of an account, or of any if account is "", that has been without progress for longest,
+// except those that wait for an answer. It reports whether there was one without progress for evictionAge.
+func (l *connectionList) closeOldest(account string, now time.Time) bool {
 	l.mu.Lock()
 	var oldest *connection
 	for e := l.open.Front(); e != nil; e = e.Next() {
@@ -114,7 +123,7 @@
 		if now.Sub(c.progressed) < evictionAge {
 			break
 		}
-		if !c.waiting {
+		if !c.waiting && c.draw.holds(account) {
 			oldest = c
 			break
 		}
@@ -136,7 +145,9 @@
 	net.Conn
 	port    *port
 	address string
-	draw    draw
+	// accounts are those of the requests on the connection. draw has further ones.
+	accounts []account
+	draw     draw
 
 	// The following fields are guarded by port.connections.mu.
 	element    *list.Element
@@ -252,12 +263,22 @@
 	return &net.OpError{Op: "read", Net: "tcp", Err: err}
 }
 
+// writeSize is the part of an answer that the client must take within the limit on time without progress.
+const writeSize = 64 << 10
+
 // Write writes within the limit on time without progress.
 func (c *connection) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.port.guard.Limits.StallTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.port.guard.Limits.StallTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeSize)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(p)
 }
 
 // CloseWrite closes the writing side, so that a client that still sends reads the answer before the connection ends.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -132,9 +132,11 @@
 			errs = append(errs, fmt.Errorf("%w: "+format, append([]any{ErrLimits}, values...)...))
 		}
 	}
-	require(l.Descriptors > reservedDescriptors, "%d descriptors, want more than the %d that are kept for files", l.Descriptors, reservedDescriptors)
+	require(l.Descriptors > reservedDescriptors, "%d descriptors, want more than the %d that are kept for files",
+		l.Descriptors, reservedDescriptors)
 	require(l.ClientMemory >= minClientMemory && l.ClientMemory <= l.VMMemory/2,
-		"%d MiB for clients, want %d MiB to half of the VM's %d MiB", l.ClientMemory>>20, minClientMemory>>20, l.VMMemory>>20)
+		"%d MiB for clients, want %d MiB to half of the VM's %d MiB", l.ClientMemory>>20, minClientMemory>>20,
+		l.VMMemory>>20)
 	require(l.StallTimeout > 0, "stall timeout %v, want above 0", l.StallTimeout)
 	require(l.BodyTimeout >= l.StallTimeout, "body timeout %v, want at least the stall timeout of %v", l.BodyTimeout, l.StallTimeout)
 	return l, errors.Join(errs...)
@@ -217,7 +219,7 @@
 			return
 		}
 		b := &body{inner: r.Body, connection: c, length: r.ContentLength, began: time.Now()}
-		b.draw.open(&p.guard.budget, c.draw.accounts)
+		b.draw.open(&p.guard.budget, c.accounts)
 		defer b.end()
 		cost := requestCost
 		if r.ContentLength < 0 {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -169,3 +169,45 @@
 		assert.Assert(t, errors.Is(err, ErrLimits), "%+v", l)
 	}
 }
+
+// TestIdleConnectionsLeaveRoomForRequests names a load of idle connections from one address: as many as the port accepts
+// must leave memory for requests, and close no connection of another address.
+func TestIdleConnectionsLeaveRoomForRequests(t *testing.T) {
+	g := &Guard{Log: log.New(io.Discard), Metrics: &recorder.Metrics{}}
+	g.Limits, _ = Limits{VMMemory: 64 << 20, Descriptors: 4100}.Complete()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, guarded := g.Serve(Port{Name: "callers", Memory: 0.6, Connections: 0.45, Requests: 0.15}, inner,
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	p := guarded.(*listener).port
+	open := func(address string) *connection {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+		return p.admit(&addressedConn{near, address})
+	}
+	other := open("10.0.0.2:1")
+	assert.Assert(t, other != nil)
+	opened := 0
+	for open("10.0.0.1:1") != nil {
+		opened++
+	}
+	assert.Assert(t, opened > 100 && g.budget.used() <= g.budget.size/2, "%d connections, %d bytes", opened, g.budget.used())
+	time.Sleep(evictionAge)
+	assert.Assert(t, open("10.0.0.1:1") != nil)
+	assert.Assert(t, other.element != nil)
+}
+
+// addressedConn is a connection from an address.
+type addressedConn struct {
+	net.Conn
+	address string
+}
+
+func (c *addressedConn) RemoteAddr() net.Addr { return clientAddress(c.address) }
+
+// clientAddress is the address of a client.
+type clientAddress string
+
+func (clientAddress) Network() string  { return "tcp" }
+func (a clientAddress) String() string { return string(a) }
