--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -168,6 +168,7 @@
 					r.timeWithoutProgress().Round(time.Millisecond), r.percent))...)
 				c.health.Note(w.healthID(), assessor.Stalled, now)
 			case c.tooSlow(r):
+				r.job.noteSlowStop(r.id.Task)
 				orders = append(orders, c.orderStop(r, now, causeSlow, fmt.Sprintf("slow: %d percent after %v, expected run time %v",
 					r.percent, now.Sub(r.started).Round(time.Millisecond),
 					c.expectedRunTime(r.job, r.id.Task.Step).Round(time.Millisecond)))...)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -152,6 +152,8 @@
 	firstOpen int
 	// failedSteps is the set of steps of which attempts have failed.
 	failedSteps map[int]bool
+	// slowStops counts, by failureKey, the attempts that were stopped because they were slow.
+	slowStops map[descriptor.TaskID]int
 	// gangEnds says why gangs of the workload ended that did not succeed.
 	gangEnds map[gangRun]discardCause
 	// classes caches the result of classesOf.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -578,6 +578,28 @@
 	assert.Assert(t, first != second)
 }
 
+// TestLongTaskStaysInTheEnd names a load of a wide step of which one task is long by itself. It was stopped as slow on one
+// worker after the other, and never ended.
+func TestLongTaskStaysInTheEnd(t *testing.T) {
+	f := newFixture(t, 2)
+	f.addRunTimeSamples()
+	f.submit("wide", 24, 1, 2*time.Second)
+	f.planAndApply()
+	for range 200 {
+		f.advance(100 * time.Millisecond)
+		for _, attempts := range f.running {
+			for id, s := range attempts {
+				if id.Task.Index == 0 && f.clock/100%10 != 0 {
+					s.Percent = max(0, s.Percent-1)
+					attempts[id] = s
+				}
+			}
+		}
+	}
+	_, attemptID := f.attemptOf("wide", 0)
+	assert.Equal(t, attemptID.Attempt, 1+maxSlowStops)
+}
+
 // TestDiscardedWork guards against work that is lost without being counted, or under another cause. A stop of work that
 // saves its progress loses only the restore.
 func TestDiscardedWork(t *testing.T) {
--- a/internal/planner/runtimes.go
+++ b/internal/planner/runtimes.go
@@ -17,6 +17,9 @@
 	// minProjectionPercent is the least progress from which a projected run time is recorded, or compared with an
 	// estimate. Percentages are rounded down, so a projection from less progress is inaccurate.
 	minProjectionPercent = 6
+	// maxSlowStops is the number of times that a task is stopped because it is slow. One that is slow everywhere is long by
+	// itself, and would begin anew for ever.
+	maxSlowStops = 2
 	// minSlowWork is the least time of work after which an attempt can count as slow.
 	minSlowWork = 500 * time.Millisecond
 )
@@ -125,9 +128,10 @@
 // on other workers. If there is none, the estimate and slowFactorByEstimate are used, but only from
 // minProjectionPercent on and if the run times of the queue are trusted. Attempts that have worked for less than
 // minSlowWork, have a checkpoint or are at 100 percent never count as too slow, nor do those whose progress is not
-// meaningful, nor with Expectations those that are longByNature.
+// meaningful, nor with Expectations those that are longByNature, nor tasks that were stopped maxSlowStops times.
 func (c *Core) tooSlow(r *attempt) bool {
-	if !c.progressMeaningful(r) || r.percent >= 100 || r.checkpoint != "" {
+	if !c.progressMeaningful(r) || r.percent >= 100 || r.checkpoint != "" ||
+		r.job.slowStops[r.job.failureKey(r.id.Task)] >= maxSlowStops {
 		return false
 	}
 	worked := c.workedTime(r, r.lastListed)
@@ -151,3 +155,11 @@
 	}
 	return !c.longByNature(r, projected)
 }
+
+// noteSlowStop counts a stop of a task that is slow.
+func (j *job) noteSlowStop(id descriptor.TaskID) {
+	if j.slowStops == nil {
+		j.slowStops = map[descriptor.TaskID]int{}
+	}
+	j.slowStops[j.failureKey(id)]++
+}
